--- a/src/main/java/dewstage/Policy.java
+++ b/src/main/java/dewstage/Policy.java
@@ -633,8 +633,9 @@
         } else if (o.status() != Status.OK) {
             sent = Math.max(0, sent - 1); // says nothing of the load
         }
-        if (o.status() == Status.FULL || o.status() == Status.TIMEOUT && s.owedSince <= a.sentAt) {
-            // No answer or no place: a jam that no report tells of, with so much work ahead at the least.
+        if (o.status() == Status.FULL) {
+            // No place: a jam that no report tells of, with so much work ahead at the least. A time-out tells
+            // no such thing: one answer lost on its way says nothing of what the rest of its zone holds.
             crowd(zone(s), Math.max(minPromise, o.elapsedNs()) / s.pace, now);
         }
         if (o.status() != Status.OK && o.status() != Status.MOOT && o.status() != Status.TIMEOUT
--- a/src/test/java/dewstage/PolicyTest.java
+++ b/src/test/java/dewstage/PolicyTest.java
@@ -10,8 +10,10 @@
 import dewstage.Balancer.Report;
 import dewstage.Balancer.State;
 import dewstage.Balancer.Status;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Deque;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -693,6 +695,30 @@
         assertTrue(served > 25, "served " + served + " of 100");
     }
 
+    @Test
+    void answersLostOnTheirWayNowAndThenHoldNothingBack() {
+        Rig r = rig(Rig.ONCE).list(ListKind.FULL, Rig.ready(6));
+        serve(r, 100, 6, 50, null);
+        Deque<Integer> lost = new ArrayDeque<>();
+        int sent = 0;
+        for (int i = 0; i < 200; i++) { // one at a time, so a server that owes a lost answer owes no other
+            int t = r.request();
+            r.pass(50);
+            if (r.attempts(t) > 0) {
+                sent++;
+                if (i % 7 == 0) {
+                    lost.add(t);
+                } else {
+                    r.ok(t, 50);
+                }
+            }
+            if (i % 7 == 6 && !lost.isEmpty()) {
+                r.done(lost.poll(), 0, Status.TIMEOUT, 350, null);
+            }
+        }
+        assertEquals(200, sent, "with six in seven answered at once the servers have room");
+    }
+
     /** Sends in 4 s of 50 requests a second where every answer comes in time, after so long. */
     private static int sentWithAnswersAfter(int ms, Report report) {
         Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.ready(6));
