--- a/src/main/java/dewstage/Policy.java
+++ b/src/main/java/dewstage/Policy.java
@@ -352,8 +352,10 @@
             s.fit = slow * s.load() <= most;
             open[side] += s.fit ? weight(s) : 0;
         }
-        // Own zone first: crossing must save more worth than it costs.
-        boolean cross = missed(0, t, now) - missed(1, t, now) > settings.crossZonePrice();
+        // Own zone first: crossing must save more worth than it costs. Where the own zone has no room
+        // it does: the request would wait here, and be refused in the end, while others stand idle.
+        boolean cross = open[0] == 0
+                || missed(0, t, now) - missed(1, t, now) > settings.crossZonePrice();
         Server best = null;
         // Tallies count in requests: a debt must not outlast weights that change a hundredfold in a second.
         double total = open[0] + (cross ? open[1] : 0);
--- a/src/test/java/dewstage/PolicyTest.java
+++ b/src/test/java/dewstage/PolicyTest.java
@@ -795,6 +795,26 @@
         }
     }
 
+    @Test
+    void aFullOwnZoneSpillsOverToFartherServersThatStandIdle() {
+        Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.member(0, 0, READY), Rig.member(1, 1, READY));
+        for (int i = 0; i < 200; i++) { // in pairs: the second one sometimes goes to the other zone
+            int one = r.request();
+            int two = r.request();
+            r.pass(15);
+            r.ok(one, r.server(one, 0) == 0 ? 10 : 50);
+            r.ok(two, r.server(two, 0) == 0 ? 15 : 50);
+        }
+        List<Integer> got = new ArrayList<>();
+        for (int i = 0; i < 7; i++) {
+            int t = r.request();
+            assertEquals(1, r.attempts(t), "held back with a server idle: " + got);
+            got.add(r.server(t, 0));
+        }
+        assertEquals(0, got.get(0));
+        assertTrue(got.contains(1), "went to " + got);
+    }
+
     @Test
     void theOwnZoneComesFirstAndSpillsOverWhenFull() {
         Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.member(0, 0, READY), Rig.member(1, 1, READY));
