--- a/src/main/java/dewstage/Policy.java
+++ b/src/main/java/dewstage/Policy.java
@@ -31,6 +31,8 @@
     private static final double PACE_ANSWERS = 10, PACE_NS = 10e9, KIND_ANSWERS = 4;
     /** Memory of what is usual: of the requests at all servers, and of the pace of a kind. */
     private static final double USUAL_NS = 2e9, KIND_NS = 5e9;
+    /** The quickest answer of a zone is forgotten so slowly: the way there hardly ever changes. */
+    private static final double WAY_NS = 60e9;
     /** What a report says of the others' requests fades so fast to what is usual: unheard is not empty. */
     private static final double OTHERS_NS = 1e9, HELD_MOST = 1000; // of more in hand no report is believed
     /** Weight of a new report in what a server can do in a second. */
@@ -95,6 +97,9 @@
     /** The own zone's rotation and that of the others: sums of weights, and of weights x expected times. */
     private final double[] weights = new double[2], times = new double[2], open = new double[2];
     private final long[] kindAt = new long[256], usualAt = new long[256];
+    /** By zone: the time of its quickest answer, when the last came, and how much of it is the way there. */
+    private final double[] quickest = new double[256], way = new double[256];
+    private final long[] quickestAt = new long[256];
     private final double[] median;
     private final long[] mostLeft;
     private final double meanWorth;
@@ -117,6 +122,7 @@
         this.mostLeft = new long[median.length];
         Arrays.fill(kindPace, minPromise / 6.0); // a guess, soon forgotten
         Arrays.fill(kindAt, now);
+        Arrays.fill(quickest, Double.MAX_VALUE);
         Arrays.fill(usual, 1);
         Arrays.fill(usualAt, now);
         this.agedAt = now;
@@ -253,7 +259,7 @@
 
     /** Owes answers and gives none: told from a slow one by the gaps between its answers, to any request. */
     private boolean silent(Server s, long now) {
-        return s.out > 0 && now - s.owedSince > minPromise * SILENT_PROMISE
+        return s.out > 0 && now - s.owedSince > minPromise * SILENT_PROMISE + way[zone(s)]
                 + SILENT_GAPS * s.pace * (1 + s.others / s.out);
     }
 
@@ -348,8 +354,8 @@
             weights[side] += weight(s);
             // Where no report tells what a server holds, its busy share tells how long one waits there.
             double waits = s.blind ? 1 / Math.max(SPARE_FLOOR, s.spare) : 1;
-            times[side] += weight(s) * slow * (s.load() + 1) * waits;
-            s.fit = slow * s.load() <= most;
+            times[side] += weight(s) * (way[zone(s)] + slow * (s.load() + 1) * waits);
+            s.fit = slow * s.load() <= most - way[zone(s)] * ADMIT;
             open[side] += s.fit ? weight(s) : 0;
         }
         // Own zone first: crossing must save more worth than it costs. Where the own zone has no room
@@ -605,10 +611,25 @@
         drain(now);
     }
 
+    /**
+     * The way to a zone is what its quickest answer takes longer than that of the nearest zone. It is no
+     * work: counted as such, a far server looks slow, and full with one request that is on its way.
+     */
+    private void quicken(int z, long elapsed, long now) {
+        double keep = Math.exp((quickestAt[z] - now) / WAY_NS);
+        quickest[z] = Math.min(elapsed, elapsed - keep * (elapsed - quickest[z]));
+        quickestAt[z] = now;
+        double nearest = Arrays.stream(quickest).min().orElse(0);
+        for (int i = 0; i < way.length; i++) {
+            way[i] = quickest[i] == Double.MAX_VALUE ? 0 : quickest[i] - nearest;
+        }
+    }
+
     private void learn(Ticket t, Attempt a, Outcome o, long now) {
         Server s = a.to;
-        double unit = Math.max(1000, o.elapsedNs()) / (a.ahead + 1);
         if (o.status() == Status.OK) {
+            quicken(zone(s), o.elapsedNs(), now);
+            double unit = Math.max(1000, o.elapsedNs() - way[zone(s)]) / (a.ahead + 1);
             double m = median[t.request.profile()] == 0 ? o.elapsedNs() : median[t.request.profile()];
             median[t.request.profile()] = m * (o.elapsedNs() > m ? 1 + MEDIAN_STEP : 1 - MEDIAN_STEP);
             // Far over its work, by the server's word and the median: a queue that will lose the next.
--- a/src/test/java/dewstage/PolicyTest.java
+++ b/src/test/java/dewstage/PolicyTest.java
@@ -815,6 +815,17 @@
         assertTrue(got.contains(1), "went to " + got);
     }
 
+    @Test
+    void theWayToAFarZoneIsNoWorkOfItsServers() {
+        Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.member(0, 0, READY));
+        serve(r, 50, 2, 10, null);
+        r.list(ListKind.FULL, Rig.member(0, 0, State.DRAINING), Rig.member(1, 1, READY));
+        serve(r, 50, 2, 60, null); // the same work, 50 ms away
+        for (int i = 0; i < 4; i++) {
+            assertEquals(1, r.attempts(r.request()), "full with " + i + " on their way");
+        }
+    }
+
     @Test
     void theOwnZoneComesFirstAndSpillsOverWhenFull() {
         Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.member(0, 0, READY), Rig.member(1, 1, READY));
