--- a/src/main/java/dewstage/Policy.java
+++ b/src/main/java/dewstage/Policy.java
@@ -422,12 +422,14 @@
         }
         retries = Math.min(RETRY_BURST, retries + RETRY_RATE);
         resends = Math.min(RESEND_BURST, resends + RESEND_RATE);
-        if (!offer(t, now)) {
-            int at = waiting.size();
-            while (at > 0 && waiting.get(at - 1).profile.worth() <= t.profile.worth()) { at--; }
-            waiting.add(at, t);
-            arm(now);
-        }
+        if (!offer(t, now)) { hold(t, now); }
+    }
+
+    private void hold(Ticket t, long now) {
+        int at = waiting.size();
+        while (at > 0 && waiting.get(at - 1).profile.worth() <= t.profile.worth()) { at--; }
+        waiting.add(at, t);
+        arm(now);
     }
 
     private void age(long now) {
@@ -454,18 +456,22 @@
     }
 
     /**
-     * Sends a first attempt while a server has room; else it waits here, where it costs no server anything
-     * and can still be refused harmlessly. True if it need not wait (any longer).
+     * Sends an attempt while a server has room; else the request waits here, where it costs no server
+     * anything and, if it is whole, can still be refused harmlessly. True if it need not wait (any longer).
      */
     private boolean offer(Ticket t, long now) {
         if (t.over) { return true; }
-        boolean held = !inTurn(t, now) || throttled();
+        if (!t.attempts.isEmpty() && !mayAttempt(t, now)) { // its time has run out as it waited
+            end(t);
+            return true;
+        }
+        boolean held = t.attempts.isEmpty() && !inTurn(t, now) || throttled(); // a further one has the turn
         Server s = held || hopeless(t, now) ? null : pick(t, now);
         if (s != null) {
             send(t, s, now);
             return true;
         }
-        full = held ? full : t.profile;
+        full = held || !t.attempts.isEmpty() ? full : t.profile; // a further one may be bound to a few
         return hopeless(t, now);
     }
 
@@ -530,17 +536,28 @@
                 && now - bound.sentAt < t.profile.windowNs() - 2 * settings.stepNs();
     }
 
-    /** A further attempt elsewhere, within the rules and the retry budget. */
+    /**
+     * A further attempt elsewhere, within the rules and the retry budget; else the request ends at once.
+     * After a connection that broke it waits for room as a first one does, if some server may come to have
+     * it: that tells of no load, where full servers and errors say that more attempts would do harm.
+     */
     private void again(Ticket t, long now) {
         boolean broke = t.attempts.get(t.attempts.size() - 1).ended == Status.RESET;
-        if ((broke ? resends : retries) >= 1 && mayAttempt(t, now)) {
-            Server s = pick(t, now);
-            if (s != null) {
-                resends -= broke ? 1 : 0;
-                retries -= broke ? 0 : 1;
-                send(t, s, now);
+        Attempt bound = bound(t);
+        if ((broke ? resends : retries) < 1 || !mayAttempt(t, now)
+                || servers.stream().noneMatch(s -> fit(s, t, bound, now))) {
+            end(t);
+            return;
+        }
+        if (!offer(t, now)) {
+            if (!broke) {
+                end(t);
+                return;
             }
+            hold(t, now);
         }
+        resends -= broke ? 1 : 0;
+        retries -= broke ? 0 : 1;
     }
 
     /** The final answer where no attempt served: refused if a repeat is harmless, else failed. */
@@ -606,7 +623,6 @@
             forget(t);
         } else if (!t.over && t.out == 0) {
             again(t, now);
-            if (t.out == 0) { end(t); }
         }
         drain(now);
     }
--- a/src/test/java/dewstage/PolicyTest.java
+++ b/src/test/java/dewstage/PolicyTest.java
@@ -815,6 +815,31 @@
         assertTrue(got.contains(1), "went to " + got);
     }
 
+    @Test
+    void aRequestWhoseAttemptBrokeWaitsForRoomElsewhere() {
+        Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.ready(2));
+        serve(r, 100, 2, 50, null);
+        int broken = r.request();
+        int other = 0;
+        for (int t = r.request(); r.attempts(t) > 0; t = r.request()) { // until both are full
+            other = r.server(t, 0) == r.server(broken, 0) ? other : t;
+        }
+        r.done(broken, 0, Status.RESET, 20, null);
+        assertEquals(null, r.answers.get(broken), "there is time, and a server that will have room");
+        r.ok(other, 50);
+        assertEquals(2, r.attempts(broken));
+        assertEquals(r.server(other, 0), r.server(broken, 1));
+    }
+
+    @Test
+    void aRequestWhoseAttemptBrokeEndsAtOnceWhereNoServerIsLeftForIt() {
+        Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.ready(1));
+        serve(r, 50, 1, 50, null);
+        int broken = r.request();
+        r.done(broken, 0, Status.RESET, 20, null);
+        assertEquals("refused", r.answers.get(broken));
+    }
+
     @Test
     void theWayToAFarZoneIsNoWorkOfItsServers() {
         Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.member(0, 0, READY));
