--- a/src/main/java/dewstage/Policy.java
+++ b/src/main/java/dewstage/Policy.java
@@ -273,6 +273,16 @@
         }
     }
 
+    /**
+     * Ejects a silent server with a trial due at once: one answer lost on its way looks like silence at a
+     * server that owes no other. Only a trial that is not answered either tells them apart: then come pauses.
+     */
+    private void doubt(Server s, long now) {
+        eject(s, now);
+        s.trialAt = now;
+        s.trialPause = TRIAL_NS / 2; // the trial doubles it
+    }
+
     /**
      * Cold budget, a token bucket. Its rate is what this proxy sent to the average server of that zone, for
      * as many as its subset leaves to it, times the multiple and the warmth: if every peer does the same, all
@@ -338,7 +348,7 @@
             int side = zone(s) == settings.zone() ? 0 : 1; // of another zone one fewer
             s.fit = s.place * zoneReady[zone(s)] < subset - side && fit(s, t, bound, now);
             if (!s.fit) { continue; }
-            if (!s.ejected && silent(s, now)) { eject(s, now); }
+            if (!s.ejected && silent(s, now)) { doubt(s, now); }
             if (s.ejected) {
                 // A trial: one request at a time that is still whole, and none that could be lost with it.
                 if (now >= s.trialAt && bound == null
--- a/src/test/java/dewstage/PolicyTest.java
+++ b/src/test/java/dewstage/PolicyTest.java
@@ -508,6 +508,21 @@
 
     // ---- health ----
 
+    @Test
+    void oneLostAnswerCostsAServerNoPause() {
+        Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.ready(3));
+        serve(r, 100, 3, 65, null);
+        int lost = r.request();
+        int again = 0;
+        for (int i = 0; i < 14; i++) { // 0.9 s: it is held to be silent after some 0.6 s
+            int t = r.request();
+            again += r.server(t, 0) == r.server(lost, 0) ? 1 : 0;
+            r.pass(65);
+            r.ok(t, 65);
+        }
+        assertTrue(again > 0, "not tried again in 0.9 s");
+    }
+
     @Test
     void aSilentServerIsEjectedAndLeftAlone() {
         Rig r = rig(Rig.SAFE, Rig.ONCE).list(ListKind.FULL, Rig.ready(4));
