--- a/src/main/java/dewstage/Policy.java
+++ b/src/main/java/dewstage/Policy.java
@@ -62,6 +62,8 @@
     private static final double THROTTLE_TRY = 0.3;
     /** Step by which the median time of a class's answers follows them. */
     private static final double MEDIAN_STEP = 0.05;
+    /** The share of a class's answers that are quick: with less time than these took, none is to be had. */
+    private static final double QUICK_SHARE = 0.1;
     /** An answer so far over the service time, reported and median, and half the promise counts as lost. */
     private static final double TARDY = 2;
     /** Servers of the own zone in the subset at the least; how often to hear of each in a promise. */
@@ -100,7 +102,7 @@
     /** By zone: the time of its quickest answer, when the last came, and how much of it is the way there. */
     private final double[] quickest = new double[256], way = new double[256];
     private final long[] quickestAt = new long[256];
-    private final double[] median;
+    private final double[] median, quick;
     private final long[] mostLeft;
     private final double meanWorth;
     private final long minPromise;
@@ -119,6 +121,7 @@
         this.minPromise = settings.profiles().stream().mapToLong(Profile::promiseNs).min().orElse(0);
         this.meanWorth = settings.profiles().stream().mapToDouble(Profile::worth).average().orElse(1);
         this.median = new double[settings.profiles().size()];
+        this.quick = new double[median.length];
         this.mostLeft = new long[median.length];
         Arrays.fill(kindPace, minPromise / 6.0); // a guess, soon forgotten
         Arrays.fill(kindAt, now);
@@ -436,6 +439,7 @@
     }
 
     private void hold(Ticket t, long now) {
+        t.held = true;
         int at = waiting.size();
         while (at > 0 && waiting.get(at - 1).profile.worth() <= t.profile.worth()) { at--; }
         waiting.add(at, t);
@@ -496,11 +500,13 @@
     }
 
     /**
-     * Ends a request that has less time left than half of its class's answers took; true if it is over. It
-     * guards against work for clients that will have left: of little patience, or held here for long.
+     * Ends a request that has waited here and has less time left than half of its class's answers took, or
+     * comes with less than hardly any took; true if it is over. It guards against work for clients that will
+     * have left: held here for long, or of little patience. Of those that come so many may still be served.
      */
     private boolean hopeless(Ticket t, long now) {
-        if (!t.over && (t.aim - now < Math.min(median[t.request.profile()], t.profile.promiseNs() / 2.0)
+        double least = (t.held ? median : quick)[t.request.profile()];
+        if (!t.over && (t.aim - now < Math.min(least, t.profile.promiseNs() / 2.0)
                 || now >= t.deadline - HOLD_NS - 2 * settings.stepNs())) {
             end(t);
         }
@@ -658,6 +664,9 @@
             double unit = Math.max(1000, o.elapsedNs() - way[zone(s)]) / (a.ahead + 1);
             double m = median[t.request.profile()] == 0 ? o.elapsedNs() : median[t.request.profile()];
             median[t.request.profile()] = m * (o.elapsedNs() > m ? 1 + MEDIAN_STEP : 1 - MEDIAN_STEP);
+            double q = quick[t.request.profile()] == 0 ? o.elapsedNs() : quick[t.request.profile()];
+            quick[t.request.profile()] = q * (o.elapsedNs() > q ? 1 + MEDIAN_STEP * QUICK_SHARE
+                    : 1 - MEDIAN_STEP * (1 - QUICK_SHARE));
             // Far over its work, by the server's word and the median: a queue that will lose the next.
             double work = s.blind && o.report() != null ? 1e6 * o.report().recentMs() : Double.NaN;
             boolean tardy = o.elapsedNs() > Math.max(t.profile.promiseNs() / 2.0, TARDY * Math.max(m, work));
--- a/src/main/java/dewstage/Ticket.java
+++ b/src/main/java/dewstage/Ticket.java
@@ -16,6 +16,8 @@
     int out;
     boolean over;
     boolean begun;
+    /** It has waited for room. */
+    boolean held;
     /** The queue of its key; null where the order of requests is free. */
     Turn turn;
 
--- a/src/test/java/dewstage/PolicyTest.java
+++ b/src/test/java/dewstage/PolicyTest.java
@@ -667,6 +667,15 @@
         assertEquals(1, r.attempts(r.request(0, 200)));
     }
 
+    @Test
+    void aHastyRequestIsSentWhereSomeAnswersAreQuickEnoughForIt() {
+        Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.ready(3));
+        for (int i = 0; i < 300; i++) {
+            serve(r, 1, 3, i % 3 == 0 ? 20 : 60, null);
+        }
+        assertEquals(1, r.attempts(r.request(0, 50)), "one in three is answered in 20 ms");
+    }
+
     @Test
     void attemptsFollowTheServedOnesWhenMostAreLost() {
         Rig r = rig(Rig.ONCE).list(ListKind.FULL, Rig.ready(6));
