Size the heap with the shell's own read, so that the start runs no other program

Where starting programs is refused, sed and head in deploy/serve.sh fail and with set -e the start ends. The archive of classes and the normal start are as they were.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -4,7 +4,17 @@
 # While a proxy starts, the others carry its load. Most of a start is code that still runs in the interpreter, so
 # it is compiled sooner than by default.
 set -eu
-mb=$(sed -n 's/.*"memory_mb"[^0-9]*\([0-9][0-9]*\).*/\1/p' "${NODE_CONFIG:-/dev/null}" 2>/dev/null | head -n 1)
+# The shell reads the limit itself: in some places a proxy may start no other program. The last line may lack its end.
+mb=
+while [ -z "$mb" ] && { read -r line || [ -n "$line" ]; }; do
+    case $line in
+        *'"memory_mb"'*)
+            mb=${line#*'"memory_mb"'}
+            mb=${mb#"${mb%%[0-9]*}"}
+            mb=${mb%%[!0-9]*}
+            ;;
+    esac
+done 2>/dev/null <"${NODE_CONFIG:-/dev/null}" || true
 heap=$(( (${mb:-128} - 56) * 2 / 3 ))
 if [ "$heap" -gt 64 ]; then heap=64; fi
 if [ "$heap" -lt 16 ]; then heap=16; fi
