Rehearse within the process, with no call to discovery

A log line for each watch showed two calls to discovery for each start, the first of them for the whole list, by the throwaway proxy: its module asks as it is made (Rehearsal, Proxy.subscribe). The rehearsal used a Unix socket, to which nobody comes there (Rehearsal.bootstrap). Ruled out: the survivors' watches (their news came within the grace, by the log).

--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -87,14 +87,17 @@
     private final Map<Client, Exchange> byClient = new IdentityHashMap<>();
     private final Queue<Event> events = new ArrayDeque<>();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
+    private final boolean watches;
     private boolean delivering;
     private boolean listed;
     private int tickets;
     private ChannelFuture listening;
 
-    /** To be called on the loop. */
-    Proxy(Config config, EventLoop loop, Balancer.Factory factory, Backends.Transport transport) {
+    /** To be called on the loop. One that does not watch never calls discovery, whatever its module asks. */
+    Proxy(Config config, EventLoop loop, Balancer.Factory factory, Backends.Transport transport,
+            boolean watches) {
         this.config = config;
+        this.watches = watches;
         this.loop = loop;
         Sockets sockets = new Sockets(config.sockets());
         this.frontend = new Frontend(config, clock, sockets.clients, this);
@@ -143,7 +146,7 @@
     static Proxy start(Config config, EventLoop loop, Balancer.Factory factory) throws IOException {
         try {
             return loop.submit(() -> {
-                Proxy p = new Proxy(config, loop, factory, Backends.tcp(loop));
+                Proxy p = new Proxy(config, loop, factory, Backends.tcp(loop), true);
                 p.begin();
                 return p;
             }).get().bound();
@@ -447,7 +450,9 @@
 
     @Override
     public void subscribe(boolean on) {
-        discovery.watch(on);
+        if (watches) {
+            discovery.watch(on);
+        }
     }
 
     @Override
--- a/src/main/java/dewstage/proxy/Rehearsal.java
+++ b/src/main/java/dewstage/proxy/Rehearsal.java
@@ -18,14 +18,11 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioDomainSocketChannel;
-import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
-import java.io.IOException;
-import java.net.UnixDomainSocketAddress;
+import io.netty.channel.local.LocalAddress;
+import io.netty.channel.local.LocalChannel;
+import io.netty.channel.local.LocalIoHandler;
+import io.netty.channel.local.LocalServerChannel;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -34,8 +31,10 @@
 /**
  * Before a proxy says that it is ready, a throwaway one serves some requests that it makes up itself. Guards
  * against the first clients paying for loading and compiling: on half a core that took seconds, in which
- * most of their requests were late. It all goes over a socket in the file system: no address is listened on
- * before the proxy serves, and nobody from outside can come upon answers that are made up.
+ * most of their requests were late. It all stays in this process: no address is listened on before the
+ * proxy serves, nobody from outside can come upon answers that are made up, and no system need offer
+ * sockets for it. Discovery is not asked: a fleet that starts at once would cost it two calls for each
+ * proxy, and what it tells a throwaway counts as told to the proxy.
  */
 final class Rehearsal {
     private static final int CLIENTS = 6, BACKENDS = 4;
@@ -47,7 +46,7 @@
     private final EventLoop loop;
     private final Proxy proxy;
     private final int most;
-    private final Path path;
+    private final LocalAddress address = new LocalAddress(Rehearsal.class);
     private final List<ChannelHandlerContext> ready = new ArrayList<>();
     private final CompletableFuture<Integer> done = new CompletableFuture<>();
     private int accepted;
@@ -57,24 +56,20 @@
     private int worked;
 
     /** To be called on the loop. */
-    private Rehearsal(Config config, EventLoop loop, Balancer.Factory factory, int most, Path path) {
+    private Rehearsal(Config config, EventLoop loop, Balancer.Factory factory, int most) {
         this.config = config;
         this.loop = loop;
-        this.path = path;
-        this.proxy = new Proxy(config, loop, factory, to -> bootstrap());
+        this.proxy = new Proxy(config, loop, factory, to -> bootstrap(), false);
         this.most = most;
     }
 
     /** Plays so many requests, or as many as the time allows; returns how many were served. */
     static int run(Config config, Balancer.Factory factory, int requests, long mostMs) {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
         EventLoop loop = group.next();
-        Path folder = null;
         try {
-            folder = Files.createTempDirectory("rehearsal");
-            Path path = folder.resolve("socket");
             CompletableFuture<Integer> done = loop.submit(() -> {
-                Rehearsal r = new Rehearsal(config, loop, factory, requests, path);
+                Rehearsal r = new Rehearsal(config, loop, factory, requests);
                 r.begin(mostMs);
                 return r.done;
             }).get();
@@ -84,29 +79,16 @@
             return 0;
         } finally {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
-            delete(folder);
-        }
-    }
-
-    private static void delete(Path folder) {
-        try {
-            if (folder != null) {
-                Files.deleteIfExists(folder.resolve("socket"));
-                Files.deleteIfExists(folder);
-            }
-        } catch (IOException e) {
-            Proxy.say("left behind by the rehearsal: " + folder);
         }
     }
 
     private Bootstrap bootstrap() {
-        return new Bootstrap().group(loop).channel(NioDomainSocketChannel.class)
-                .remoteAddress(UnixDomainSocketAddress.of(path));
+        return new Bootstrap().group(loop).channel(LocalChannel.class).remoteAddress(address);
     }
 
     private void begin(long mostMs) {
         loop.schedule(() -> done.complete(served), mostMs, TimeUnit.MILLISECONDS);
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerDomainSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(LocalServerChannel.class)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
@@ -117,7 +99,7 @@
                             c.pipeline().addLast(new Backend());
                         }
                     }
-                }).bind(UnixDomainSocketAddress.of(path));
+                }).bind(address);
         bound.addListener(f -> {
             if (!f.isSuccess()) {
                 done.completeExceptionally(f.cause());
@@ -191,6 +173,9 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) {
+            if (!bytes.isReadable()) {
+                return; // within a process an empty body comes as such
+            }
             first = first < 0 ? bytes.getByte(bytes.readerIndex()) : first;
             int end = bytes.writerIndex();
             boolean line = bytes.getByte(end - 1) == '\n';
