Let a proxy have no more out than its part of the fleet's room while answers are slow

All 14 logs together: 8 requests out at each proxy before the release, 30 to 50 from 14 s on, one at nearly each server: 700 at 60 servers, which makes them slow for long. The module thinks that a server has room if it has nothing out there itself (Policy.pick, 's.fit'): with 4 proxies that is harmless, with 14 it drowns the servers. Ruled out: discovery (each change heard within 0.2 s of the first), cold budgets (cold servers got their share), CPU of the proxies (a sixth of their share), full or failing servers (full 22, err 4).

--- a/src/main/java/dewstage/Policy.java
+++ b/src/main/java/dewstage/Policy.java
@@ -66,6 +66,12 @@
     private static final double QUICK_SHARE = 0.1;
     /** An answer so far over the service time, reported and median, and half the promise counts as lost. */
     private static final double TARDY = 2;
+    /**
+     * What all proxies may have out for each unit that the servers can do, and each its equal part (a few at
+     * the least), while the median answer takes so many times what the quick ones take. Far more out makes
+     * servers slow for long.
+     */
+    private static final double UNIT_HOLDS = 3, PART_LEAST = 4, CROWDED = 4;
     /** Servers of the own zone in the subset at the least; how often to hear of each in a promise. */
     private static final double SUBSET_LEAST = 2, SUBSET_HEARD = 2;
     /** Spreads the proxies' subsets evenly over the servers, however many of each there are. */
@@ -109,7 +115,9 @@
     private double arrivals, sent, good, lost, parallel = 1, leastService, retries = RETRY_BURST / 2;
     private double resends = RESEND_BURST / 2;
     private long agedAt, heardAt, wokeAt, askPause = ASK_NS;
-    private int asked;
+    /** This proxy's equal part of what the servers can hold, and what it has out. */
+    private double part = Double.MAX_VALUE;
+    private int allOut, asked;
     /** The class of which the last offer found no room. */
     private Profile full;
     private boolean armed;
@@ -460,10 +468,13 @@
             good *= keep;
             lost *= keep;
             keep = Math.exp((agedAt - now) / OTHERS_NS);
+            double units = 0;
             for (Server s : servers) {
+                units += s.ready() ? s.listed.units() * warmth(s, now) : 0;
                 s.fresh *= keep;
                 s.others = s.fresh * s.heard + (1 - s.fresh) * (1 / usual[zone(s)] - 1);
             }
+            part = Math.max(PART_LEAST, UNIT_HOLDS * units / Math.max(1, settings.balancers()));
             turns.values().removeIf(u -> u.queue.isEmpty() && now >= u.restUntil);
             agedAt = now;
         }
@@ -479,7 +490,8 @@
             end(t);
             return true;
         }
-        boolean held = t.attempts.isEmpty() && !inTurn(t, now) || throttled(); // a further one has the turn
+        // a further one has the turn
+        boolean held = t.attempts.isEmpty() && !inTurn(t, now) || throttled() || crowded(t);
         Server s = held || hopeless(t, now) ? null : pick(t, now);
         if (s != null) {
             send(t, s, now);
@@ -499,6 +511,16 @@
         return lost >= THROTTLE_LOST && sent > THROTTLE_RATIO * good + unknown;
     }
 
+    /**
+     * A server at which this proxy has nothing out looks empty, and so it does to each proxy of the fleet:
+     * where they are many, one request from each drowns it. So while answers are slow, none has more than its
+     * part out.
+     */
+    private boolean crowded(Ticket t) {
+        int profile = t.request.profile();
+        return allOut >= part && median[profile] > CROWDED * quick[profile];
+    }
+
     /**
      * Ends a request that has waited here and has less time left than half of its class's answers took, or
      * comes with less than hardly any took; true if it is over. It guards against work for clients that will
@@ -530,6 +552,7 @@
     private void send(Ticket t, Server s, long now) {
         t.attempts.add(new Attempt(s, s.load(), now));
         t.out++;
+        allOut++;
         s.owedSince = s.out++ == 0 ? now : s.owedSince;
         s.tokens--;
         sent++;
@@ -627,6 +650,7 @@
         a.ended = o.status();
         t.out--;
         a.to.out--;
+        allOut--;
         if (t.turn != null && (o.status() == Status.TIMEOUT || o.status() == Status.RESET
                 || o.status() == Status.CANCELLED)) {
             t.turn.restUntil = now + settings.turnGapNs();
--- a/src/test/java/dewstage/PolicyTest.java
+++ b/src/test/java/dewstage/PolicyTest.java
@@ -864,6 +864,26 @@
         assertEquals("refused", r.answers.get(broken));
     }
 
+    /** How many of 28 requests one of 14 proxies has out at 28 servers in four zones, after such answers. */
+    private static int outAtAFleet(long firstMs, long laterMs) {
+        Member[] fleet = new Member[28];
+        Arrays.setAll(fleet, i -> Rig.member(i, i % 4, READY));
+        Rig r = new Rig(Rig.settings(0, 14, false, Rig.SAFE)).list(ListKind.FULL, fleet);
+        serve(r, 100, 28, firstMs, null);
+        serve(r, 80, 28, laterMs, null);
+        int out = 0;
+        for (int i = 0; i < 28; i++) {
+            out += r.attempts(r.request());
+        }
+        return out;
+    }
+
+    @Test
+    void oneOfManyProxiesHasNoMoreOutThanItsPartWhileAnswersAreSlow() {
+        assertTrue(outAtAFleet(20, 20) > 2 * 6, "answers are quick: nothing is held back");
+        assertEquals(6, outAtAFleet(20, 120), "three for each of 28 servers, by 14 proxies together");
+    }
+
     @Test
     void theWayToAFarZoneIsNoWorkOfItsServers() {
         Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.member(0, 0, READY));
