Reckon a just started proxy's cold budget by its own age, not by 15 s

Budgets follow what a proxy sent lately; Policy.budget divided it by the 15 s of its memory, also when it had run for one, and so the whole fleet crowded on the warm servers.

--- a/src/main/java/dewstage/Policy.java
+++ b/src/main/java/dewstage/Policy.java
@@ -79,7 +79,7 @@
     /** Requests that wait are looked at this often, besides at each answer. */
     private static final long HOLD_NS = 20_000_000L;
     /** Memory of own rates (a release must not shrink the cold budgets it needs), and how often it ages. */
-    private static final double RATE_NS = 15e9;
+    private static final double RATE_NS = 15e9, RATE_LEAST_NS = 1e9;
     private static final long AGE_NS = 50_000_000L;
     /** First pause before discovery is asked again after a failure; doubles, eight times at most. */
     private static final long ASK_NS = 250_000_000L;
@@ -114,6 +114,7 @@
     private final long minPromise;
     private double arrivals, sent, good, lost, parallel = 1, leastService, retries = RETRY_BURST / 2;
     private double resends = RESEND_BURST / 2;
+    private final long startedAt;
     private long agedAt, heardAt, wokeAt, askPause = ASK_NS;
     /** This proxy's equal part of what the servers can hold, and what it has out. */
     private double part = Double.MAX_VALUE;
@@ -136,6 +137,7 @@
         Arrays.fill(quickest, Double.MAX_VALUE);
         Arrays.fill(usual, 1);
         Arrays.fill(usualAt, now);
+        this.startedAt = now;
         this.agedAt = now;
         this.heardAt = now;
         out.timer(now + PULSE_NS, PULSE_TOKEN);
@@ -303,7 +305,9 @@
     private boolean budget(Server s, long now) {
         double warmth = warmth(s, now);
         if (warmth >= 1) { return true; }
-        double mine = zoneRate[zone(s)] / RATE_NS * Math.max(1, zoneReady[zone(s)] / subset());
+        // A proxy that has just started remembers no more than its own age: its rate is not lower for that.
+        double remembered = RATE_NS * (1 - Math.exp(-Math.max(RATE_LEAST_NS, now - startedAt) / RATE_NS));
+        double mine = zoneRate[zone(s)] / remembered * Math.max(1, zoneReady[zone(s)] / subset());
         double idle = Math.min(1, 2 * Math.max(SPARE_FLOOR, s.spare));
         double rate = COLD_SAFETY * idle * Math.max(mine * settings.tipMultiple() * warmth,
                 1.0 / settings.fallNs() / Math.max(1, settings.balancers()));
--- a/src/test/java/dewstage/PolicyTest.java
+++ b/src/test/java/dewstage/PolicyTest.java
@@ -302,10 +302,8 @@
         assertTrue(busy > 0 && busy < idle * 0.6, busy + " busy, " + idle + " idle");
     }
 
-    @Test
-    void aFleetThatIsColdAllAtOnceIsNotHeldBackFurtherByItsOwnLowRate() {
-        Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.ready(4));
-        serve(r, 1000, 4, 20, null);
+    /** How many of 300 requests go out in 6 s to a fleet of four that is cold all at once. */
+    private static int sentToAColdFleet(Rig r) {
         Member[] cold = new Member[4];
         for (int i = 0; i < 4; i++) {
             cold[i] = new Member(10 + i, 0, READY, r.now, 0, 0, 1);
@@ -322,6 +320,22 @@
                 }
             }
         }
+        return sent;
+    }
+
+    @Test
+    void aFleetThatIsColdAllAtOnceIsNotHeldBackFurtherByItsOwnLowRate() {
+        Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.ready(4));
+        serve(r, 1000, 4, 20, null);
+        int sent = sentToAColdFleet(r);
+        assertTrue(sent > 180, "sent " + sent + " of 300 in the first 6 s");
+    }
+
+    @Test
+    void aProxyThatHasJustStartedGivesColdServersWhatAnOldOneDoes() {
+        Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.ready(4));
+        serve(r, 50, 4, 20, null);
+        int sent = sentToAColdFleet(r);
         assertTrue(sent > 180, "sent " + sent + " of 300 in the first 6 s");
     }
 
