--- a/src/main/java/dewstage/Policy.java
+++ b/src/main/java/dewstage/Policy.java
@@ -522,7 +522,9 @@
      */
     private boolean crowded(Ticket t) {
         int profile = t.request.profile();
-        return allOut >= part && median[profile] > CROWDED * quick[profile];
+        // One that started in the middle of it takes slow answers for the quick ones: half a promise is slow.
+        return allOut >= part
+                && median[profile] > Math.min(CROWDED * quick[profile], t.profile.promiseNs() / 2.0);
     }
 
     /**
--- a/src/test/java/dewstage/PolicyTest.java
+++ b/src/test/java/dewstage/PolicyTest.java
@@ -896,6 +896,7 @@
     void oneOfManyProxiesHasNoMoreOutThanItsPartWhileAnswersAreSlow() {
         assertTrue(outAtAFleet(20, 20) > 2 * 6, "answers are quick: nothing is held back");
         assertEquals(6, outAtAFleet(20, 120), "three for each of 28 servers, by 14 proxies together");
+        assertEquals(6, outAtAFleet(140, 140), "also for one that never saw quick answers");
     }
 
     @Test
