Spread the calls to discovery after a lost watch over the time it needs for all proxies

Discovery worked off one call in 0.15 s, also those given up after their 2 s, so 27 of the next 28 calls ended in 503 and the watches were back 4.6 to 8 s later, two of them after more: past 6 s news counts as told unheard. Ruled out: discovery being down so long (its answers came 0.15 s apart from 9.68 s on, after a pause as long as 12 dead calls take).

--- a/src/main/java/dewstage/Policy.java
+++ b/src/main/java/dewstage/Policy.java
@@ -83,6 +83,8 @@
     private static final long AGE_NS = 50_000_000L;
     /** First pause before discovery is asked again after a failure; doubles, eight times at most. */
     private static final long ASK_NS = 250_000_000L;
+    /** What a call may cost discovery: it answers some five in a second. */
+    private static final long CALL_NS = 200_000_000L;
 
     /** The proxy's own pulse: with none for twice as long it stood still. */
     private static final long PULSE_NS = 50_000_000L;
@@ -158,8 +160,11 @@
     @Override
     public void onMembers(long now, ListKind kind, long version, List<Member> members) {
         if (kind == ListKind.FAILED) {
-            // A failure may mean a broken subscription. Jitter keeps the proxies from asking in step.
-            askAgain(now + (long) (askPause * (0.5 + random.nextDouble())));
+            // A failure may mean a broken subscription, of all proxies at once. Jitter keeps them from asking
+            // in step: they spread over the time in which discovery can answer as many, for it works through
+            // calls that nobody waits for any more, too, and then no call is answered in time.
+            long spread = Math.max(askPause, settings.balancers() * CALL_NS);
+            askAgain(now + askPause / 2 + (long) (spread * random.nextDouble()));
             askPause = Math.min(askPause * 2, 8 * ASK_NS);
             return;
         }
--- a/src/test/java/dewstage/PolicyTest.java
+++ b/src/test/java/dewstage/PolicyTest.java
@@ -955,6 +955,23 @@
         assertEquals(asked, r.actions.size(), "not asked again while subscribed");
     }
 
+    @Test
+    void proxiesThatLoseTheirWatchTogetherDoNotAskInStep() {
+        int[] asked = new int[20]; // in each fifth of a second
+        for (int i = 0; i < 14; i++) {
+            Rig r = new Rig(Rig.settings(i, 14, true, Rig.SAFE), i + 1).list(ListKind.FULL, Rig.ready(2));
+            r.actions.clear();
+            r.list(ListKind.FAILED);
+            int fifth = 0;
+            while (!r.pass(200).actions.contains("subscribe true")) {
+                fifth++;
+            }
+            asked[fifth]++;
+        }
+        assertTrue(Arrays.stream(asked).max().orElse(0) <= 4, Arrays.toString(asked));
+        assertEquals(14, Arrays.stream(asked, 0, 15).sum(), "within 3 s: " + Arrays.toString(asked));
+    }
+
     @Test
     void anUnansweredCallIsRepeatedBeforeTheRuleBinds() {
         Rig r = new Rig(Rig.settings(true, Rig.SAFE)).list(ListKind.CACHED, Rig.ready(1));
