--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -50,7 +50,7 @@
      * rehearses the others carry its load, and if the next one is told to end meanwhile, nobody does; with
      * fewer than some 100 requests played, up to a fifth of the first 5 s is late or refused.
      */
-    private static final int REHEARSED = 300;
+    private static final int REHEARSED = 150;
     private static final long REHEARSAL_MS = 2000;
 
     private interface Event {
--- a/src/test/java/dewstage/proxy/ServeTest.java
+++ b/src/test/java/dewstage/proxy/ServeTest.java
@@ -46,12 +46,13 @@
     }
 
     /** Reads the log until a line holds the text. */
-    private static void said(BufferedReader log, String text) throws Exception {
+    private static String said(BufferedReader log, String text) throws Exception {
         String line = log.readLine();
         while (line != null && !line.contains(text)) {
             line = log.readLine();
         }
         assertTrue(line != null, "the process ended without saying: " + text);
+        return line;
     }
 
     @Test
@@ -90,8 +91,10 @@
         try (Peer discovery = new Peer(); Peer backend = new Peer()) {
             write(discovery, backend);
             Process p = serve(discovery, "-Xlog:class+load:file=" + loaded);
-            try {
+            try (BufferedReader log = p.errorReader()) {
                 discovery.accept(); // the rehearsal is over
+                String served = said(log, "requests of a rehearsal").split(" ")[2];
+                assertTrue(Integer.parseInt(served) <= 150, "longer than a start needs: " + served);
             } finally {
                 p.destroyForcibly().waitFor();
             }
