Read discovery's lists with a streaming parser, however they are laid out

The standing test says that lists may come indented. Discovery.Watch read line by line (Discovery.read, line): the first line of an indented list is no JSON, so the watch was closed and opened anew, for ever, with no news. An empty line inside a list also counted as a sign of life (heard). Seen with the new test on the program as it was: nothing was told in 20 s.

Now the JSON library's own non-blocking parser takes the bytes as they come; a list is bounded in size, counts at its closing bracket, and what cannot be read is one line in the log. Empty lines within a list do not keep a watch alive.

--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -6,6 +6,7 @@
 import dewstage.Balancer.State;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -24,10 +25,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -56,7 +55,7 @@
     /** Two and a half beats of 2 s: what is not heard counts as told after 6 s all the same. */
     private static final long SILENCE_MS = 5000;
     private static final long FIRST_PAUSE_MS = 100, LONGEST_PAUSE_MS = 1600;
-    private static final int LONGEST_LINE = 4 << 20;
+    private static final int LONGEST_LIST = 4 << 20;
 
     private final EventLoop loop;
     private final Config config;
@@ -138,7 +137,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) silenceMs)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(Channel c) {
+                    protected void initChannel(Channel c) throws IOException {
                         c.pipeline().addLast(new HttpClientCodec(), new Watch());
                     }
                 }).connect(address);
@@ -164,11 +163,15 @@
         pauseMs = Math.min(2 * pauseMs, LONGEST_PAUSE_MS);
     }
 
-    /** One watch: lines of JSON in a chunked answer. A line counts once its end has come. */
+    /** One watch: JSON in a chunked answer. A list counts once its end has come, however it is laid out. */
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final Json.Stream lists;
         private ScheduledFuture<?> silence;
 
+        Watch() throws IOException {
+            this.lists = new Json.Stream(LONGEST_LIST);
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             String from = version < 0 ? "" : "&index=" + version;
@@ -192,6 +195,9 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (ctx.channel() != watch) {
+                return; // given up: what is left of it comes again on the next
+            }
             if (message.decoderResult().isFailure()
                     || message instanceof HttpResponse r && !r.status().equals(HttpResponseStatus.OK)) {
                 ctx.close();
@@ -206,44 +212,33 @@
         }
 
         private void read(ChannelHandlerContext ctx, ByteBuf bytes) {
-            while (bytes.isReadable() && ctx.channel() == watch) {
-                byte b = bytes.readByte();
-                if (b != '\n') {
-                    line.write(b);
-                } else {
-                    heard(ctx);
-                    line(ctx, line.toByteArray());
-                    line.reset();
-                }
-                if (line.size() > LONGEST_LINE) {
-                    Proxy.say("a line of discovery is too long");
-                    ctx.close();
-                    return;
-                }
+            // An empty line is a sign of life between lists; inside one it brings that no nearer to its end.
+            boolean blank = bytes.forEachByte(b -> b >= 0 && b <= ' ') < 0;
+            if (lists.between() || !blank) {
+                heard(ctx);
             }
-        }
-
-        private void line(ChannelHandlerContext ctx, byte[] bytes) {
-            if (new String(bytes, StandardCharsets.UTF_8).isBlank()) {
-                return;
-            }
-            News news;
             try {
-                news = parse(Json.read(bytes));
+                for (JsonNode list : lists.feed(ByteBufUtil.getBytes(bytes))) {
+                    take(parse(list));
+                }
             } catch (IOException | IllegalArgumentException e) {
                 // It may have been news: only a new watch from the last version is sure to bring it.
-                Proxy.say("a line of discovery is not understood: " + e.getMessage());
+                Proxy.say("a list of discovery is not understood: "
+                        + e.getMessage().lines().findFirst().orElse(""));
                 ctx.close();
-                return;
             }
+        }
+
+        private void take(News news) {
             version = news.version();
             pauseMs = FIRST_PAUSE_MS;
             listener.news(news);
         }
 
         @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
+        public void channelInactive(ChannelHandlerContext ctx) throws IOException {
             silence.cancel(false);
+            lists.close();
         }
 
         @Override
