Let a connection to a backend rest for 20 ms after an answer before it is used again

Ruled out: telling them apart by their content (an answer names no request), and that the use of the connection idle longest is enough: where one connection is idle, it is both.

Now a connection is not used for 20 ms after its answer; if all idle ones rest, a new one is opened. The tests can stop and push on the proxy's clock.

--- a/src/main/java/dewstage/proxy/Backends.java
+++ b/src/main/java/dewstage/proxy/Backends.java
@@ -72,6 +72,12 @@
     /** An idle connection is closed so long before the backend does it: no request may cross that. */
     private static final long KEEP_ALIVE_MARGIN_NS = 1_500_000_000L;
     private static final long SWEEP_MS = 500;
+    /**
+     * A connection rests for so long after an answer. Guards against a second answer that comes behind the
+     * first: the next request would be served with it. Seen were 1 to 7 ms. It costs a handshake where a
+     * backend's connections are all at work or resting.
+     */
+    static final long REST_NS = 20_000_000L;
 
     private static final class Backend {
         InetSocketAddress address;
@@ -183,13 +189,13 @@
     private Connection reuse(Backend b) {
         // The one idle longest: what a backend closes right behind an answer, or sends too much, is seen by
         // then.
-        Connection c = b.idle.pollFirst();
+        Connection c = b.idle.peekFirst();
         // Not left to the sweep: one that stands still would write to what the backend is about to close.
         while (c != null && !(fresh(c) && c.channel.isActive())) {
-            c.channel.close();
-            c = b.idle.pollFirst();
+            b.idle.pollFirst().channel.close();
+            c = b.idle.peekFirst();
         }
-        return c;
+        return c == null || clock.now() - c.idleSince < REST_NS ? null : b.idle.pollFirst();
     }
 
     // ---- attempts ----
--- a/src/main/java/dewstage/proxy/Clock.java
+++ b/src/main/java/dewstage/proxy/Clock.java
@@ -1,7 +1,7 @@
 package dewstage.proxy;
 
 /** Unix time in ns as read at the start, and monotonic from there: backends' start times compare with it. */
-final class Clock {
+class Clock {
     private final long origin = System.currentTimeMillis() * 1_000_000L - System.nanoTime();
 
     long now() {
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -78,7 +78,7 @@
 
     private final Config config;
     private final EventLoop loop;
-    private final Clock clock = new Clock();
+    private final Clock clock;
     private final Frontend frontend;
     private final Backends backends;
     private final Discovery discovery;
@@ -95,8 +95,9 @@
 
     /** To be called on the loop. One that does not watch never calls discovery, whatever its module asks. */
     Proxy(Config config, EventLoop loop, Balancer.Factory factory, Backends.Transport transport,
-            boolean watches) {
+            boolean watches, Clock clock) {
         this.config = config;
+        this.clock = clock;
         this.watches = watches;
         this.loop = loop;
         Sockets sockets = new Sockets(config.sockets());
@@ -122,7 +123,7 @@
         Config config = Config.read(environment);
         say("served " + Rehearsal.run(config, factory, REHEARSED, REHEARSAL_MS) + " requests of a rehearsal");
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        Proxy proxy = start(config, loop, factory);
+        Proxy proxy = start(config, loop, factory, new Clock());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             proxy.drain().join();
             // A process that a signal ends reports the signal; this one has ended well.
@@ -139,14 +140,15 @@
         Config config = Config.read(environment);
         say("served " + Rehearsal.run(config, factory, REHEARSED, REHEARSAL_MS) + " requests of a rehearsal");
         Proxy proxy = start(config, new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next(),
-                factory);
+                factory, new Clock());
         proxy.drain().join();
     }
 
-    static Proxy start(Config config, EventLoop loop, Balancer.Factory factory) throws IOException {
+    static Proxy start(Config config, EventLoop loop, Balancer.Factory factory, Clock clock)
+            throws IOException {
         try {
             return loop.submit(() -> {
-                Proxy p = new Proxy(config, loop, factory, Backends.tcp(loop), true);
+                Proxy p = new Proxy(config, loop, factory, Backends.tcp(loop), true, clock);
                 p.begin();
                 return p;
             }).get().bound();
--- a/src/main/java/dewstage/proxy/Rehearsal.java
+++ b/src/main/java/dewstage/proxy/Rehearsal.java
@@ -62,7 +62,7 @@
     private Rehearsal(Config config, EventLoop loop, Balancer.Factory factory, int most) {
         this.config = config;
         this.loop = loop;
-        this.proxy = new Proxy(config, loop, factory, to -> bootstrap(), false);
+        this.proxy = new Proxy(config, loop, factory, to -> bootstrap(), false, new Clock());
         this.most = most;
     }
 
--- a/src/test/java/dewstage/proxy/BackendsTest.java
+++ b/src/test/java/dewstage/proxy/BackendsTest.java
@@ -43,6 +43,7 @@
             assertTrue(o.over());
             assertEquals(7, o.report().inflight());
             assertEquals(0.61, o.report().util());
+            setup.clock.pass(Backends.REST_NS);
             sent(client);
             wire.read(); // on the same connection
             wire.write(OK);
@@ -150,6 +151,26 @@
         }
     }
 
+    @Test
+    void aSecondAnswerThatComesLateIsNeverTheAnswerToTheNextRequest() throws Exception {
+        try (Peer.Wire client = setup.client()) {
+            setup.clock.stop();
+            sent(client);
+            Peer.Wire first = backend.accept();
+            first.read();
+            first.write(OK);
+            assertTrue(client.read().endsWith("\r\n\r\nbody"));
+            setup.clock.pass(Backends.REST_NS - 1);
+            sent(client); // before the second answer
+            first.write(OK);
+            assertTrue(first.ended());
+            Peer.Wire second = backend.accept();
+            second.read();
+            second.write(OK.replace("body", "next"));
+            assertTrue(client.read().endsWith("\r\n\r\nnext"));
+        }
+    }
+
     /** A backend that closes right behind its answer must not be written to before that is seen. */
     @Test
     void theConnectionIdleLongestIsUsedFirst() throws Exception {
@@ -164,6 +185,7 @@
             assertTrue(one.read().endsWith("body"));
             second.write(OK);
             assertTrue(two.read().endsWith("body"));
+            setup.clock.pass(Backends.REST_NS);
             sent(one);
             assertTrue(first.read().startsWith("GET "));
         }
