End clients' connections in good order, and the process only after its answers are read

From a reading (issue: a restart with requests in flight): Client.answer closed the connection right behind the last answer, Frontend.close those idle at 0.55 s after SIGTERM; with something of the client's unread, that is a reset. And Proxy.whenEmpty let the process end up to 10 ms after the last answer was written, read or not; what a process leaves behind is reset. A pending write was failed by such a close, too: Client.idle did not know of it.

A drain ends once all connections are gone, or 0.1 s after the last answer. Both new tests fail without it.

--- a/src/main/java/dewstage/proxy/Client.java
+++ b/src/main/java/dewstage/proxy/Client.java
@@ -3,10 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -54,6 +54,8 @@
     private ByteBuf body;
     private Message taken;
     private boolean busy;
+    /** The last answer is not yet in the hands of the system, which sees to it from there. */
+    private boolean writing;
     private boolean keepAlive;
     private boolean used;
     /** No more is read: an error or the end is on its way, since then. */
@@ -70,9 +72,9 @@
         this.idleSince = connectedAt;
     }
 
-    /** Is no request open or begun? */
+    /** Is no request open or begun, and nothing owed of the last answer? */
     boolean idle() {
-        return !busy && line.isEmpty() && !partial();
+        return !busy && !writing && line.isEmpty() && !partial();
     }
 
     /** Has a request on it ever been answered? */
@@ -97,10 +99,35 @@
         return partSince != 0;
     }
 
+    /** Closes it at once, for its descriptor. */
     void close() {
         channel.close();
     }
 
+    /** Ends a connection with no request open. */
+    void leave() {
+        if (ending) {
+            return; // it is on its way out
+        }
+        ending = true;
+        endingSince = owner.now();
+        decoder.stop();
+        endSending();
+    }
+
+    /**
+     * Sends no more; the connection goes once its client has closed it too, or after a while (check). Closed
+     * at once, with something of the client's unread, it would be reset, and that may take with it the answer
+     * on its way.
+     */
+    private void endSending() {
+        if (channel instanceof DuplexChannel both) {
+            both.shutdownOutput().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        } else {
+            channel.close();
+        }
+    }
+
     /** Ends a connection that has kept the proxy waiting for longer than the limits allow. */
     void check(long now, long requestNs, long idleNs) {
         if (ending) {
@@ -110,7 +137,7 @@
         } else if (partial() && now - partSince > requestNs) {
             end(408, "the request did not come in time");
         } else if (idle() && now - idleSince > (used ? idleNs : requestNs)) {
-            channel.close();
+            leave();
         }
     }
 
@@ -235,9 +262,17 @@
             endingSince = idleSince;
             decoder.stop();
         }
-        ChannelFuture written = channel.writeAndFlush(r);
+        writing = true;
+        channel.writeAndFlush(r).addListener(f -> {
+            writing = false;
+            if (!f.isSuccess()) {
+                channel.close();
+            } else if (last) {
+                endSending();
+            }
+        });
         if (last) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            line.clear();
         } else if (!line.isEmpty()) {
             channel.eventLoop().execute(this::next);
         }
--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -125,7 +125,7 @@
     void close() {
         listener.close();
         sayRejected();
-        Stream.concat(unused.stream(), used.stream()).filter(Client::idle).toList().forEach(Client::close);
+        Stream.concat(unused.stream(), used.stream()).filter(Client::idle).toList().forEach(Client::leave);
     }
 
     /**
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -42,8 +42,11 @@
     private static final long LIST_WAIT_MS = 3000;
     /** After SIGTERM clients go on coming for 0.4 s at the most; then the listener closes. */
     private static final long ACCEPT_MS = 550;
-    /** Requests come whole within so long after that, or never. */
-    private static final long DRAIN_SLACK_MS = 100;
+    /**
+     * Requests come whole within so long after that, or never; and an answer is read within so long, which
+     * its client shows by closing the connection. What the process leaves behind as it ends may be reset.
+     */
+    private static final long DRAIN_SLACK_NS = 100_000_000L, DRAIN_LOOK_MS = 10;
 
     /**
      * Requests that are played before the proxy serves, and the longest that may take. While a proxy
@@ -91,6 +94,8 @@
     private boolean delivering;
     private boolean listed;
     private int tickets;
+    /** When a request was last answered. */
+    private long answeredAt;
     private ChannelFuture listening;
 
     /** To be called on the loop. One that does not watch never calls discovery, whatever its module asks. */
@@ -221,18 +226,19 @@
             frontend.drain();
             loop.schedule(() -> {
                 frontend.close();
-                whenEmpty(0);
+                answeredAt = clock.now();
+                whenEmpty();
             }, ACCEPT_MS, TimeUnit.MILLISECONDS);
         });
         return ended;
     }
 
-    private void whenEmpty(long waitedMs) {
-        if (byClient.isEmpty() && (frontend.open() == 0 || waitedMs >= DRAIN_SLACK_MS)) {
+    private void whenEmpty() {
+        if (byClient.isEmpty() && (frontend.open() == 0 || clock.now() - answeredAt >= DRAIN_SLACK_NS)) {
             say("drained");
             ended.complete(null);
         } else {
-            loop.schedule(() -> whenEmpty(waitedMs + 10), 10, TimeUnit.MILLISECONDS);
+            loop.schedule(this::whenEmpty, DRAIN_LOOK_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -359,6 +365,7 @@
 
     private void finish(Exchange x) {
         x.over = true;
+        answeredAt = clock.now();
         x.backstop.cancel(false);
         byClient.remove(x.client);
     }
--- a/src/test/java/dewstage/proxy/FrontendTest.java
+++ b/src/test/java/dewstage/proxy/FrontendTest.java
@@ -3,17 +3,21 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dewstage.Balancer.Outcome;
 import dewstage.Balancer.Request;
 import dewstage.Balancer.Status;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -282,6 +286,54 @@
         }
     }
 
+    /** What a client has sent that is not read yet would turn a close into a reset, answer and all. */
+    @Test
+    void aConnectionThatEndsIsNotResetUnderWhatItsClientHasJustSent() throws Exception {
+        CompletableFuture<Void> drained;
+        try (Peer.Wire idle = setup.client(); Peer.Wire asking = setup.client()) {
+            idle.write("GET /none HTTP/1.1\r\n\r\n");
+            assertTrue(idle.read().startsWith("HTTP/1.1 404 "));
+            asking.write(Setup.get());
+            Request r = setup.request();
+            drained = setup.proxy.drain();
+            setup.act(() -> {
+                try {
+                    asking.write(Setup.get()); // on the loop: it comes unread to the end of this connection
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+                setup.actions.fail(r.ticket());
+            });
+            assertTrue(asking.read().contains("connection: close\r\n"));
+            assertTrue(asking.endedWell() && idle.endedWell());
+            for (int i = 0; i < 3; i++) {
+                setup.act(() -> { }); // by the next look at the sockets what was closed is gone
+            }
+            for (Peer.Wire w : List.of(asking, idle)) {
+                w.write(Setup.get()).write(Setup.get()); // to a reset connection the second one would fail
+            }
+            assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("request")));
+        }
+        drained.get(20, TimeUnit.SECONDS);
+    }
+
+    /** The process ends with the drain, and what it leaves behind may be reset. */
+    @Test
+    void aDrainLastsUntilItsAnswersAreRead() throws Exception {
+        CompletableFuture<Void> drained;
+        try (Peer.Wire client = setup.client()) {
+            client.write(Setup.get());
+            Request r = setup.request();
+            setup.clock.stop();
+            drained = setup.proxy.drain();
+            setup.act(() -> setup.actions.fail(r.ticket()));
+            assertTrue(client.read().startsWith("HTTP/1.1 502 "));
+            CompletableFuture<Void> stillOpen = drained;
+            assertThrows(TimeoutException.class, () -> stillOpen.get(1, TimeUnit.SECONDS));
+        }
+        drained.get(20, TimeUnit.SECONDS);
+    }
+
     @Test
     void aDrainAnswersWhatCameBeforeAndAfterItAndEnds() throws Exception {
         try (Peer.Wire idle = setup.client(); Peer.Wire before = setup.client()) {
--- a/src/test/java/dewstage/proxy/Peer.java
+++ b/src/test/java/dewstage/proxy/Peer.java
@@ -105,6 +105,11 @@
             }
         }
 
+        /** True once the other side has ended its sending in good order: not by a reset. */
+        boolean endedWell() throws IOException {
+            return in.read() < 0;
+        }
+
         /** Ends the connection with a reset, as a process that dies does. */
         void reset() throws IOException {
             socket.setSoLinger(true, 0);
