Hear SIGTERM before the listener opens, so that a start is drained too

From a reading: Proxy.run registered the hook that drains only after Proxy.start had opened the listener and called discovery; a SIGTERM between the two ended the process with whatever it had taken. The new test holds a start up, sends SIGTERM and fails without the mend. If the start fails or its loop has ended, the exit code is still 1: the hook ends the process with 0 only after a drain.

--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -128,13 +129,22 @@
         Config config = Config.read(environment);
         say("served " + Rehearsal.run(config, factory, REHEARSED, REHEARSAL_MS) + " requests of a rehearsal");
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        Proxy proxy = start(config, loop, factory, new Clock());
+        // Before the listener opens: from then on there may be something to answer.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            proxy.drain().join();
-            // A process that a signal ends reports the signal; this one has ended well.
-            Runtime.getRuntime().halt(0);
+            try {
+                started.thenCompose(Proxy::drain).join();
+                // A process that a signal ends reports the signal; this one has ended well.
+                Runtime.getRuntime().halt(0);
+            } catch (CompletionException e) {
+                say("nothing to drain"); // it could not start, or its loop is gone
+            }
         }, "drain"));
-        started.complete(proxy);
+        try {
+            started.complete(start(config, loop, factory, new Clock()));
+        } catch (IOException e) {
+            started.completeExceptionally(e);
+            throw e;
+        }
         loop.terminationFuture().awaitUninterruptibly();
         throw new IOException("the event loop has ended"); // better gone than deaf
     }
--- a/src/test/java/dewstage/proxy/ServeTest.java
+++ b/src/test/java/dewstage/proxy/ServeTest.java
@@ -4,13 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dewstage.Policy;
 import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
@@ -84,6 +88,48 @@
         }
     }
 
+    @Test
+    void aSigtermWhileTheProxyStartsFindsItDrainedAllTheSame() throws Exception {
+        try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+            write(discovery, backend);
+            ProcessBuilder java = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                    .toString(), "-cp", System.getProperty("java.class.path"), Held.class.getName());
+            java.environment().put("NODE_CONFIG", folder.resolve("config.json").toString());
+            Process p = java.start();
+            try (BufferedReader log = p.errorReader()) {
+                said(log, "held");
+                signal(p, "TERM");
+                p.getOutputStream().write('\n');
+                p.getOutputStream().flush();
+                said(log, "drained");
+                assertTrue(p.waitFor(20, TimeUnit.SECONDS));
+                assertEquals(0, p.exitValue());
+            } finally {
+                p.destroyForcibly();
+            }
+        }
+    }
+
+    /** The program, held up in its start, behind the rehearsal, until a line comes. */
+    static final class Held {
+        private Held() { }
+
+        public static void main(String[] args) throws Exception {
+            AtomicInteger made = new AtomicInteger();
+            Proxy.run(System.getenv(), (settings, seed, now, out) -> {
+                if (made.incrementAndGet() == 2) {
+                    System.err.println("held");
+                    try {
+                        System.in.read();
+                    } catch (IOException e) {
+                        throw new UncheckedIOException(e);
+                    }
+                }
+                return new Policy(settings, seed, now, out);
+            });
+        }
+    }
+
     /** On half a core each of these costs a start a tenth of a second or more, and none is of use there. */
     @Test
     void aStartLoadsNothingOfWhatItHasNoUseFor() throws Exception {
