Have all proxies call discovery again within a fifth of the time for asking

What a silent watch misses counts as told after 6 s, so that drains that last would also break the rule.

Now the calls spread over at most a fifth of the time that the settings give for asking (2 s here); for 14 proxies it is 2 s where it was 2.8. The new test fails without the mend.

--- a/src/main/java/dewstage/Policy.java
+++ b/src/main/java/dewstage/Policy.java
@@ -83,8 +83,12 @@
     private static final long AGE_NS = 50_000_000L;
     /** First pause before discovery is asked again after a failure; doubles, eight times at most. */
     private static final long ASK_NS = 250_000_000L;
-    /** What a call may cost discovery: it answers some five in a second. */
+    /**
+     * What a call may cost discovery: it answers some five in a second. One that serves a large fleet is
+     * quicker; all proxies have called within this share of the time for asking, however many they are.
+     */
     private static final long CALL_NS = 200_000_000L;
+    private static final double CALLED_WITHIN = 0.2;
 
     /** The proxy's own pulse: with none for twice as long it stood still. */
     private static final long PULSE_NS = 50_000_000L;
@@ -163,7 +167,8 @@
             // A failure may mean a broken subscription, of all proxies at once. Jitter keeps them from asking
             // in step: they spread over the time in which discovery can answer as many, for it works through
             // calls that nobody waits for any more, too, and then no call is answered in time.
-            long spread = Math.max(askPause, settings.balancers() * CALL_NS);
+            long spread = Math.max(askPause, Math.min(settings.balancers() * CALL_NS,
+                    (long) (settings.askWithinNs() * CALLED_WITHIN)));
             askAgain(now + askPause / 2 + (long) (spread * random.nextDouble()));
             askPause = Math.min(askPause * 2, 8 * ASK_NS);
             return;
--- a/src/test/java/dewstage/PolicyTest.java
+++ b/src/test/java/dewstage/PolicyTest.java
@@ -972,6 +972,24 @@
         assertEquals(14, Arrays.stream(asked, 0, 15).sum(), "within 3 s: " + Arrays.toString(asked));
     }
 
+    /** A watch that fell silent leaves little time: what it misses soon counts as told. */
+    @Test
+    void aLargeFleetThatLosesItsWatchesHasAskedAgainLongBeforeTheRuleBinds() {
+        int[] asked = new int[100]; // in each tenth of a second
+        for (int i = 0; i < 100; i++) {
+            Rig r = new Rig(Rig.settings(i, 100, true, Rig.SAFE), i + 1).list(ListKind.FULL, Rig.ready(2));
+            r.actions.clear();
+            r.list(ListKind.FAILED);
+            int tenth = 0;
+            while (!r.pass(100).actions.contains("subscribe true")) {
+                tenth++;
+            }
+            asked[tenth]++;
+        }
+        assertEquals(100, Arrays.stream(asked, 0, 25).sum(), "in a quarter: " + Arrays.toString(asked));
+        assertTrue(Arrays.stream(asked).max().orElse(0) <= 20, "in step: " + Arrays.toString(asked));
+    }
+
     @Test
     void anUnansweredCallIsRepeatedBeforeTheRuleBinds() {
         Rig r = new Rig(Rig.settings(true, Rig.SAFE)).list(ListKind.CACHED, Rig.ready(1));
