Give up a silent watch after 3 s, and let no try at discovery outlast half of a drain's grace

What a silent watch misses counts as told 6 s after it fell silent. Discovery.SILENCE_MS was 5 s, so a second was left for the new call. A call that waits for its turn still has 5 s, apart from that. Where lists are pushed, what comes in while discovery is away counts as told at its return: a connect had 5 s and the pause between tries grew to 1.6 s, against a grace of 0.5 to 1.5 s (from a reading; not seen in a play). Both now follow the grace in the settings.

--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -52,8 +52,13 @@
         void failed();
     }
 
-    /** Two and a half beats of 2 s: what is not heard counts as told after 6 s all the same. */
-    private static final long SILENCE_MS = 5000;
+    /**
+     * One and a half beats of 2 s. What is not heard counts as told 6 s after the last beat all the same, and
+     * by then all proxies must have called again, in turn, and been answered.
+     */
+    static final long SILENCE_MS = 3000;
+    /** An answer may take so long to begin: calls are worked through in turn. */
+    private static final long ANSWER_MS = 5000;
     private static final long FIRST_PAUSE_MS = 100, LONGEST_PAUSE_MS = 1600;
     private static final int LONGEST_LIST = 4 << 20;
 
@@ -134,7 +139,7 @@
     private void open() {
         retry = null;
         ChannelFuture connect = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) silenceMs)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMs(config.drainGraceNs()))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) throws IOException {
@@ -160,7 +165,19 @@
             return;
         }
         retry = loop.schedule(this::open, pauseMs, TimeUnit.MILLISECONDS);
-        pauseMs = Math.min(2 * pauseMs, LONGEST_PAUSE_MS);
+        pauseMs = Math.min(2 * pauseMs, longestPauseMs(config.drainGraceNs()));
+    }
+
+    /**
+     * Where lists are pushed, what comes in while discovery could not be reached counts as told at its return
+     * at once: a try that hangs and the pause behind it must leave some of the time that drains have.
+     */
+    static long connectMs(long drainGraceNs) {
+        return Math.max(FIRST_PAUSE_MS, Math.min(LONGEST_PAUSE_MS, drainGraceNs / 2_000_000));
+    }
+
+    static long longestPauseMs(long drainGraceNs) {
+        return connectMs(drainGraceNs) / 2;
     }
 
     /** One watch: JSON in a chunked answer. A list counts once its end has come, however it is laid out. */
@@ -179,18 +196,18 @@
                     "/catalog/members?stream=1" + from);
             get.headers().set(HttpHeaderNames.HOST, ctx.channel().remoteAddress().toString().substring(1));
             ctx.writeAndFlush(get);
-            heard(ctx);
+            heard(ctx, ANSWER_MS);
         }
 
         /** A discovery that is cut off leaves the watch open and silent: give it up. */
-        private void heard(ChannelHandlerContext ctx) {
+        private void heard(ChannelHandlerContext ctx, long nextMs) {
             if (silence != null) {
                 silence.cancel(false);
             }
             silence = loop.schedule(() -> {
                 Proxy.say("discovery is silent: the watch is opened again");
                 ctx.close();
-            }, silenceMs, TimeUnit.MILLISECONDS);
+            }, nextMs, TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -203,6 +220,9 @@
                 ctx.close();
                 return;
             }
+            if (message instanceof HttpResponse) {
+                heard(ctx, silenceMs);
+            }
             if (message instanceof HttpContent content) {
                 read(ctx, content.content());
             }
@@ -215,7 +235,7 @@
             // An empty line is a sign of life between lists; inside one it brings that no nearer to its end.
             boolean blank = bytes.forEachByte(b -> b >= 0 && b <= ' ') < 0;
             if (lists.between() || !blank) {
-                heard(ctx);
+                heard(ctx, silenceMs);
             }
             try {
                 for (JsonNode list : lists.feed(ByteBufUtil.getBytes(bytes))) {
--- a/src/test/java/dewstage/proxy/DiscoveryTest.java
+++ b/src/test/java/dewstage/proxy/DiscoveryTest.java
@@ -149,6 +149,17 @@
         discovery.accept().read();
     }
 
+    /** What a silent watch misses counts as told 6 s after its last beat, and beats come every 2 s. */
+    @Test
+    void theTimesLeaveRoomForACallAfterASilenceAndForTriesWithinADrainsGrace() {
+        assertTrue(Discovery.SILENCE_MS > 2500 && Discovery.SILENCE_MS <= 3000);
+        for (long graceMs : new long[] {300, 500, 1500, 4000, 60_000}) {
+            long tryMs = Discovery.connectMs(graceMs * 1_000_000);
+            long late = tryMs + Discovery.longestPauseMs(graceMs * 1_000_000);
+            assertTrue(tryMs >= 100 && late <= Math.min(3000, graceMs * 4 / 5), graceMs + ": " + late);
+        }
+    }
+
     @Test
     void readyOnlyOnceTheListIsIn() throws Exception {
         Peer.Wire watch = discovery.accept();
