Call discovery at its new address at once, also while no watch is open

Now a new address is called at once; the module's next wish for a watch leaves a call that is under way alone, since a new one would go to the end of the line. The new test fails without the mend.

--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -104,6 +104,9 @@
 
     /** Opens the watch or closes it. Pushed lists are watched for good; one that is asked for is one call. */
     void watch(boolean on) {
+        if (on && wanted && watch != null) {
+            return; // a further call would only go to the end of the line that this one waits in
+        }
         close();
         wanted = on;
         if (on) {
@@ -111,17 +114,20 @@
         }
     }
 
-    /** Discovery is elsewhere now: the watch goes on there at once, from the last version that was heard. */
+    /**
+     * Discovery is elsewhere now: the watch goes on there at once, from the last version that was heard, also
+     * where the module has a pause before its next call: that is for the old address, and what the new one
+     * has to tell soon counts as told.
+     */
     void move(InetSocketAddress to) {
         if (to.equals(address)) {
             return;
         }
         address = to;
         pauseMs = FIRST_PAUSE_MS;
-        if (wanted) {
-            close();
-            open();
-        }
+        close();
+        wanted = true;
+        open();
     }
 
     private void close() {
--- a/src/test/java/dewstage/proxy/ServeTest.java
+++ b/src/test/java/dewstage/proxy/ServeTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dewstage.Balancer.ListKind;
 import dewstage.Policy;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -193,6 +196,32 @@
         }
     }
 
+    /** Where the list is asked for, nobody calls until the module says so: not so at a new address. */
+    @Test
+    void aNewAddressIsCalledAtOnceAlsoWhileNoWatchIsOpen() throws Exception {
+        try (Peer discovery = new Peer(); Peer elsewhere = new Peer(); Peer backend = new Peer()) {
+            JsonNode root = Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000);
+            ((ObjectNode) root.path("settings")).put("discovery", "on_request");
+            ((ObjectNode) root.at("/settings/rules")).put("ask_within_ns", 10_000_000_000L);
+            try (Setup setup = new Setup().start(Config.parse(root, Map.of()))) {
+                setup.backend();
+                setup.act(() -> setup.actions.subscribe(true));
+                discovery.accept().close();
+                while (setup.next("kind", ListKind.class) != ListKind.FAILED) {
+                    continue; // the watch is lost, and the module pauses
+                }
+                setup.act(() -> reload(setup, elsewhere, backend));
+                Peer.Wire watch = elsewhere.accept();
+                assertTrue(watch.read().contains("index=41 "));
+                setup.act(() -> setup.actions.subscribe(true)); // the pause is over: this call stands
+                watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "2d\r\n{\"generation\":42,\"reset\":true,\"instances\":[]}\r\n");
+                assertEquals(0, setup.next("members", List.class).size());
+                assertTrue(elsewhere.quiet());
+            }
+        }
+    }
+
     private static void reload(Setup setup, Peer discovery, Peer backend) {
         try {
             setup.proxy.reload(Setup.config(discovery, backend));
