Close at once behind an error to what was no proper request

They get their error and a close as before; only a connection that ends behind an answer to a proper request lingers.

--- a/src/main/java/dewstage/proxy/Client.java
+++ b/src/main/java/dewstage/proxy/Client.java
@@ -254,6 +254,7 @@
         busy = false;
         used |= taken != null || status == 200;
         idleSince = owner.now();
+        boolean proper = taken != null;
         boolean last = owner.answered(this, status) && line.isEmpty() || !keepAlive;
         taken = null;
         if (last) {
@@ -265,10 +266,10 @@
         writing = true;
         channel.writeAndFlush(r).addListener(f -> {
             writing = false;
-            if (!f.isSuccess()) {
-                channel.close();
-            } else if (last) {
+            if (last && proper && f.isSuccess()) {
                 endSending();
+            } else if (last || !f.isSuccess()) {
+                channel.close(); // whoever sent no proper request may have no end of it to send
             }
         });
         if (last) {
