Block until a timer is due: the event loop polled for it and stood still in return

Cause: NioIoHandler rounds the delay until the next timer to the nearest millisecond (`millisBeforeDeadline`), so with less than half a millisecond left it does not block, and the loop polls its sockets round after round until the timer is due. A second trial counted polls in a row: "row of 21651 polls, 486 us by the clock" and then "run took 183408 us, delay 14552 us" (n67). The processor time of the polls is charged to the process and becomes a stall at its next wait. Stalls stood only at proxies with rows of over 14,000 polls; rounds and stalls of a proxy correlate at 0.88.

Change: NonPollingIoHandler rounds the delay up, so a round has something to do or blocks. A timer may fire 1 ms late.

--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -129,7 +129,7 @@
         say("starting");
         Config config = Config.read(environment);
         say("served " + Rehearsal.run(config, factory, REHEARSED, REHEARSAL_MS) + " requests of a rehearsal");
-        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        EventLoop loop = newLoop();
         // Before the listener opens: from then on there may be something to answer.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
@@ -155,11 +155,15 @@
             throws ConfigException, IOException {
         Config config = Config.read(environment);
         say("served " + Rehearsal.run(config, factory, REHEARSED, REHEARSAL_MS) + " requests of a rehearsal");
-        Proxy proxy = start(config, new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next(),
-                factory, new Clock());
+        Proxy proxy = start(config, newLoop(), factory, new Clock());
         proxy.drain().join();
     }
 
+    /** The one event loop of a process that serves. */
+    static EventLoop newLoop() {
+        return new MultiThreadIoEventLoopGroup(1, NonPollingIoHandler.over(NioIoHandler.newFactory())).next();
+    }
+
     static Proxy start(Config config, EventLoop loop, Balancer.Factory factory, Clock clock)
             throws IOException {
         try {
--- a/src/test/java/dewstage/proxy/Setup.java
+++ b/src/test/java/dewstage/proxy/Setup.java
@@ -7,8 +7,6 @@
 import dewstage.Balancer.Outcome;
 import dewstage.Balancer.Request;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
@@ -62,7 +60,7 @@
     /** What the module was told. */
     record Told(String what, Object event) { }
 
-    final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    final EventLoop loop = Proxy.newLoop();
     final BlockingQueue<Told> told = new LinkedBlockingQueue<>();
     final Steps clock = new Steps();
     Proxy proxy;
