--- a/src/main/java/dewstage/Balancer.java
+++ b/src/main/java/dewstage/Balancer.java
@@ -41,7 +41,12 @@
      * sequential classes with one key run one at a time, in the order taken.
      */
     record Profile(Effect effect, Scope scope, long windowNs, long promiseNs, long giveUpNs, double worth,
-            double lateShare, boolean streamed, boolean sequential) { }
+            double lateShare, boolean streamed, boolean sequential) {
+        /** May an attempt that may have run be repeated at any server with no second effect? */
+        public boolean repeatsAnywhere() {
+            return effect == Effect.IDEMPOTENT || effect == Effect.DEDUPLICATED && scope == Scope.ALL;
+        }
+    }
 
     /**
      * What the deployment states at the start. Times in ns, the price as a fraction of the result.
--- a/src/main/java/dewstage/Fleet.java
+++ b/src/main/java/dewstage/Fleet.java
@@ -3,10 +3,16 @@
 import dewstage.Balancer.Member;
 import dewstage.Balancer.State;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
 
 /**
  * The listed servers, found by what a decision asks for: by id, by place in a zone, by cell, those in use,
@@ -14,35 +20,39 @@
  * looks at, however many servers there are. State only, no decision.
  */
 final class Fleet {
-    private static final int ZONES = 256;
     private static final Comparator<Server> BY_ID = Comparator.comparingInt(s -> s.id);
 
     private final IntMap<Server> byId = new IntMap<>();
-    /** The ready ones by zone, and by zone and cell; the latter only where some class is bound to a cell. */
-    private final Ranks[] zones = new Ranks[ZONES];
+    /** All zones that a server was ever listed in. */
+    private final Map<Integer, Zone> zones = new TreeMap<>();
+    /** The ready ones by zone and cell; only where some class is bound to a cell. */
     private final Map<Long, Ranks> cells;
-    /** The zones that ever had a ready one. */
-    private final List<Integer> zonesUsed = new ArrayList<>();
     /** Those with an attempt out, or ejected, in the order of their ids. */
     private final List<Server> inUse = new ArrayList<>();
     /** Those that have not been found warm yet. */
     private final List<Server> cold = new ArrayList<>();
     /** No longer listed, but perhaps with an attempt out. */
-    private final List<Server> leaving = new ArrayList<>();
+    private final Set<Server> leaving = new LinkedHashSet<>();
     /** Where this proxy begins in each zone's order, as a share of it. */
     private final double phase;
+    private final long startedAt;
     private double warmUnits;
-    private int ready;
     private int ejected;
     private int lists;
 
-    Fleet(double phase, boolean boundToCells) {
-        this.phase = phase;
+    Fleet(double phase, boolean boundToCells, long now) {
+        this.phase = phase - Math.floor(phase);
+        this.startedAt = now;
         this.cells = boundToCells ? new HashMap<>() : null;
     }
 
-    static int zone(Server s) {
-        return s.listed.zone() & ZONES - 1;
+    /** The zone of a number: the same one as long as the proxy lives. */
+    Zone zone(int id) {
+        return zones.computeIfAbsent(id, z -> new Zone(z, startedAt));
+    }
+
+    Collection<Zone> zones() {
+        return zones.values();
     }
 
     Server get(int id) {
@@ -55,11 +65,7 @@
     }
 
     int ready() {
-        return ready;
-    }
-
-    int ready(int zone) {
-        return zones[zone] == null ? 0 : zones[zone].size();
+        return zones.values().stream().mapToInt(z -> z.ready.size()).sum();
     }
 
     /** How many of the ready ones are ejected. */
@@ -74,6 +80,7 @@
         Server old = byId.get(s.id);
         if (old != null) { detach(old); }
         byId.put(s.id, s);
+        s.zone = zone(s.listed.zone());
         s.attached = true;
         s.named = true;
         s.warm = warm;
@@ -93,12 +100,13 @@
                 && m.cell() == s.listed.cell() && m.units() == s.listed.units();
         if (was && !stays) { leave(s); }
         s.listed = m;
+        s.zone = zone(m.zone());
         s.named = true;
         s.namedIn = lists;
         if (s.ready()) {
             if (!stays) { enter(s); }
         } else if (m.state() == State.GONE) {
-            leaves(s);
+            leaving.add(s);
         }
     }
 
@@ -111,8 +119,7 @@
                 detach(s);
                 byId.remove(s.id);
             }
-            s.leaving = gone && s.attached;
-            return !s.leaving;
+            return !gone || !s.attached;
         });
     }
 
@@ -120,13 +127,6 @@
         if (s.namedIn != lists) {
             if (s.ready()) { leave(s); }
             s.named = false;
-            leaves(s);
-        }
-    }
-
-    private void leaves(Server s) {
-        if (!s.leaving) {
-            s.leaving = true;
             leaving.add(s);
         }
     }
@@ -138,31 +138,25 @@
     }
 
     private void enter(Server s) {
-        if (zones[zone(s)] == null) {
-            zones[zone(s)] = new Ranks();
-            zonesUsed.add(zone(s));
-        }
-        zones[zone(s)].add(s);
+        s.zone.ready.add(s);
         s.rankedIn = 0;
         if (cells != null) { cells.computeIfAbsent(cell(s), c -> new Ranks()).add(s); }
-        ready++;
         ejected += s.ejected ? 1 : 0;
         warmUnits += s.warm ? s.listed.units() : 0;
     }
 
     private void leave(Server s) {
-        zones[zone(s)].remove(s);
+        s.zone.ready.remove(s);
         if (cells != null) {
             cells.get(cell(s)).remove(s);
             if (cells.get(cell(s)).size() == 0) { cells.remove(cell(s)); }
         }
-        ready--;
         ejected -= s.ejected ? 1 : 0;
         warmUnits -= s.warm ? s.listed.units() : 0;
     }
 
     private static long cell(Server s) {
-        return (long) zone(s) << Integer.SIZE | s.listed.cell() & 0xffffffffL;
+        return (long) s.zone.id << Integer.SIZE | s.listed.cell() & 0xffffffffL;
     }
 
     void eject(Server s, boolean on) {
@@ -178,18 +172,11 @@
         boolean use = s.attached && (s.out > 0 || s.ejected);
         if (use == s.inUse) { return; }
         s.inUse = use;
-        int low = 0;
-        int high = inUse.size();
-        while (low < high) {
-            int middle = (low + high) >>> 1;
-            boolean before = inUse.get(middle).id < s.id;
-            low = before ? middle + 1 : low;
-            high = before ? high : middle;
-        }
+        int at = Collections.binarySearch(inUse, s, BY_ID);
         if (use) {
-            inUse.add(low, s);
+            inUse.add(-1 - at, s);
         } else {
-            inUse.remove(low);
+            inUse.remove(at);
         }
     }
 
@@ -200,16 +187,11 @@
         return inUse;
     }
 
-    /** What tells how much of its capacity a server has by now: 1 when warm. */
-    interface Warmth {
-        double of(Server s);
-    }
-
-    /** The units of the ready ones, each times its warmth. The cold ones alone are walked. */
-    double units(Warmth warmth) {
+    /** The units of the ready ones, each times its warmth (1 when warm). The cold ones alone are walked. */
+    double units(ToDoubleFunction<Server> warmth) {
         double[] units = {0};
         cold.removeIf(s -> {
-            double w = s.attached ? warmth.of(s) : 0;
+            double w = s.attached ? warmth.applyAsDouble(s) : 0;
             s.warm = w >= 1;
             boolean counts = s.attached && s.ready();
             warmUnits += counts && s.warm ? s.listed.units() : 0;
@@ -220,54 +202,45 @@
     }
 
     /**
-     * Place in this proxy's order of a zone's ready servers, 0 to 1: the subset is those under its width.
-     * Each proxy begins elsewhere in the one order.
+     * The rank at which this proxy's order of so many servers begins; it goes on round the end. Each proxy
+     * begins elsewhere in the one order.
      */
-    private double place(int rank, int size) {
-        double place = rank / (double) Math.max(1, size) + phase;
-        return place - Math.floor(place);
+    private int first(int size) {
+        return (int) Math.ceil(size * (1 - phase)) % size;
+    }
+
+    /** How many servers lie within a width: the first lies a part of a step behind the beginning. */
+    private int count(int size, double width) {
+        double beginning = size * (1 - phase);
+        return (int) Math.max(0, Math.min(size, Math.ceil(width - (Math.ceil(beginning) - beginning))));
     }
 
     /** Is a ready server among the first so many of its zone? */
     boolean within(Server s, double width) {
-        Ranks zone = zones[zone(s)];
+        Ranks zone = s.zone.ready;
         if (s.rankedIn != zone.changes()) {
             s.rank = zone.rank(s);
             s.rankedIn = zone.changes();
         }
-        return place(s.rank, zone.size()) * zone.size() < width;
+        return Math.floorMod(s.rank - first(zone.size()), zone.size()) < count(zone.size(), width);
     }
 
-    /** The first so many of a zone, in the order of their ids. */
-    void window(int zone, double width, List<Server> into) {
-        if (zones[zone] != null) { window(zones[zone], width, into); }
-    }
-
-    private void window(Ranks of, double width, List<Server> into) {
+    /** The first so many of a zone or a cell, in the order of their ids. */
+    void window(Ranks of, double width, List<Server> into) {
         int size = of.size();
-        if (width >= size) {
-            of.copy(0, size, into);
-            return;
-        }
-        // Ranks from the proxy's beginning on, round the end. Both bounds are guessed, the first not too low,
-        // and then found by the very sum that gives the places.
-        int from = (int) (Math.ceil(size * (1 - (phase - Math.floor(phase)))) + 1) % size;
-        while (place(from, size) > place(Math.floorMod(from - 1, size), size)) {
-            from = Math.floorMod(from - 1, size);
-        }
-        int count = Math.max(0, (int) Math.ceil(width) - 1);
-        while (count < size && place((from + count) % size, size) * size < width) { count++; }
-        while (count > 0 && place((from + count - 1) % size, size) * size >= width) { count--; }
+        if (size == 0) { return; }
+        int from = first(size);
+        int count = count(size, width);
         of.copy(0, Math.max(0, from + count - size), into);
         of.copy(from, Math.min(size, from + count), into);
     }
 
     /** The first so many of each zone but one, in the order of their ids. */
-    void windows(int but, double width, List<Server> into) {
+    void windows(Zone but, double width, List<Server> into) {
         int parts = 0;
-        for (int zone : zonesUsed) {
-            if (zone != but && ready(zone) > 0) {
-                window(zone, width, into);
+        for (Zone zone : zones.values()) {
+            if (zone != but && zone.ready.size() > 0) {
+                window(zone.ready, width, into);
                 parts++;
             }
         }
--- a/src/main/java/dewstage/Policy.java
+++ b/src/main/java/dewstage/Policy.java
@@ -3,7 +3,6 @@
 import dewstage.Ticket.Attempt;
 import dewstage.Ticket.Turn;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -112,15 +111,9 @@
     private final Map<Long, Turn> turns = new HashMap<>();
     /** Requests that wait here, those worth most first. */
     private final List<Ticket> waiting = new ArrayList<>();
-    /** By zone: own sends to a server, share left at one (crowd); by kind: time of a request. */
-    private final double[] zoneRate = new double[256], usual = new double[256], kindPace = new double[256];
-    /** By zone: the others' requests at a server that nothing recent is known of. */
-    private final double[] unheard = new double[256];
+    private final Map<Integer, Kind> kinds = new HashMap<>();
+    private final Zone home;
     private final Side near = new Side(), far = new Side();
-    private final long[] kindAt = new long[256], usualAt = new long[256];
-    /** By zone: the time of its quickest answer, when the last came, and how much of it is the way there. */
-    private final double[] quickest = new double[256], way = new double[256];
-    private final long[] quickestAt = new long[256];
     private final double[] median, quick;
     private final long[] mostLeft;
     private final double meanWorth;
@@ -136,20 +129,18 @@
     private Profile full;
     private boolean armed;
 
+    /** What is known of a kind of server: the time of a request when warm, and when an answer last told. */
+    private final class Kind {
+        double pace = minPromise / 6.0; // a guess, soon forgotten
+        long learntAt = startedAt;
+    }
+
     /** The own zone's rotation, or that of the others, as weighed for one request. */
     private static final class Side {
         /** Sums of weights, of weights x expected times, and of the weights of those with room. */
         double weights, times, open;
         /** Those looked at, and those of them that have room. */
         final List<Server> looked = new ArrayList<>(), roomy = new ArrayList<>();
-
-        void clear() {
-            weights = 0;
-            times = 0;
-            open = 0;
-            looked.clear();
-            roomy.clear();
-        }
     }
 
     public Policy(Settings settings, long seed, long now, Actions out) {
@@ -157,17 +148,13 @@
         this.out = out;
         this.random = new SplittableRandom(seed);
         this.fleet = new Fleet(settings.me() * GOLDEN, settings.profiles().stream()
-                .anyMatch(p -> p.effect() == Effect.DEDUPLICATED && p.scope() == Scope.CELL));
+                .anyMatch(p -> p.effect() == Effect.DEDUPLICATED && p.scope() == Scope.CELL), now);
+        this.home = fleet.zone(settings.zone());
         this.minPromise = settings.profiles().stream().mapToLong(Profile::promiseNs).min().orElse(0);
         this.meanWorth = settings.profiles().stream().mapToDouble(Profile::worth).average().orElse(1);
         this.median = new double[settings.profiles().size()];
         this.quick = new double[median.length];
         this.mostLeft = new long[median.length];
-        Arrays.fill(kindPace, minPromise / 6.0); // a guess, soon forgotten
-        Arrays.fill(kindAt, now);
-        Arrays.fill(quickest, Double.MAX_VALUE);
-        Arrays.fill(usual, 1);
-        Arrays.fill(usualAt, now);
         this.startedAt = now;
         this.agedAt = now;
         this.heardAt = now;
@@ -179,11 +166,7 @@
 
     private void ask(long now) {
         out.subscribe(true);
-        askAgain(now + settings.askWithinNs() / 2); // well before an unheard list would bind this proxy
-    }
-
-    private void askAgain(long at) {
-        out.timer(at, ++asked);
+        out.timer(now + settings.askWithinNs() / 2, ++asked); // well before an unheard list would bind it
     }
 
     @Override
@@ -194,7 +177,7 @@
             // calls that nobody waits for any more, too, and then no call is answered in time.
             long spread = Math.max(askPause, Math.min(settings.balancers() * CALL_NS,
                     Math.min(CALLED_WITHIN_NS, (long) (settings.askWithinNs() * CALLED_WITHIN))));
-            askAgain(now + askPause / 2 + (long) (spread * random.nextDouble()));
+            out.timer(now + askPause / 2 + (long) (spread * random.nextDouble()), ++asked);
             askPause = Math.min(askPause * 2, 4 * ASK_NS);
             return;
         }
@@ -213,7 +196,7 @@
 
     /** A server is new or has started anew: nothing learnt of an old process holds. */
     private Server started(Member m, long now) {
-        Server s = new Server(m, kindPace[m.kind() & 255], parallel, now); // it needs what its kind needs
+        Server s = new Server(m, kind(m).pace, parallel, now); // it needs what its kind needs
         fleet.start(s, warmth(s, now) >= 1);
         s.recent = true;
         recent.add(s);
@@ -227,13 +210,13 @@
 
     // ---- factors ----
 
-    private static int zone(Server s) {
-        return Fleet.zone(s);
+    private Kind kind(Member m) {
+        return kinds.computeIfAbsent(m.kind(), k -> new Kind());
     }
 
     /** The others' requests at a server, as far as is known. */
     private double others(Server s) {
-        return s.recent ? s.others : unheard[zone(s)];
+        return s.recent ? s.others : s.zone.unheard;
     }
 
     /** All requests there, in those that run side by side. */
@@ -264,7 +247,7 @@
                 s.recent = true;
                 recent.add(s);
             }
-            crowd(zone(s), others, now);
+            crowd(s.zone, others, now);
         }
         if (r.perSecond() > 0 && r.util() > 0 && r.perSecond() != s.told) {
             // What it does in a second over its busy share is what it can do, whatever its requests wait for.
@@ -283,9 +266,9 @@
     }
 
     /** Usual in a zone: the mean share a further request would get, which a few long queues hardly move. */
-    private void crowd(int z, double others, long now) {
-        usual[z] += (1 - Math.exp((usualAt[z] - now) / USUAL_NS)) * (1 / (1 + others) - usual[z]);
-        usualAt[z] = now;
+    private void crowd(Zone z, double others, long now) {
+        z.usual += (1 - Math.exp((z.usualAt - now) / USUAL_NS)) * (1 / (1 + others) - z.usual);
+        z.usualAt = now;
     }
 
     /** The design's formula: low while young, else capacity times spare share. */
@@ -302,7 +285,7 @@
 
     /** Owes answers and gives none: told from a slow one by the gaps between its answers, to any request. */
     private boolean silent(Server s, long now) {
-        return s.out > 0 && now - Math.max(s.owedSince, wokeAt) > minPromise * SILENT_PROMISE + way[zone(s)]
+        return s.out > 0 && now - Math.max(s.owedSince, wokeAt) > minPromise * SILENT_PROMISE + s.zone.way
                 + SILENT_GAPS * s.pace * (1 + others(s) / s.out);
     }
 
@@ -335,7 +318,7 @@
         if (warmth >= 1) { return true; }
         // A proxy that has just started remembers no more than its own age: its rate is not lower for that.
         double remembered = RATE_NS * (1 - Math.exp(-Math.max(RATE_LEAST_NS, now - startedAt) / RATE_NS));
-        double mine = zoneRate[zone(s)] / remembered * Math.max(1, fleet.ready(zone(s)) / subset());
+        double mine = s.zone.rate / remembered * Math.max(1, s.zone.ready.size() / subset());
         double idle = Math.min(1, 2 * Math.max(SPARE_FLOOR, s.spare));
         double rate = COLD_SAFETY * idle * Math.max(mine * settings.tipMultiple() * warmth,
                 1.0 / settings.fallNs() / Math.max(1, settings.balancers()));
@@ -366,10 +349,7 @@
         for (Attempt a : t.attempts) {
             if (a.to.id == s.id) { return false; }
         }
-        if (bound == null || t.profile.effect() != Effect.DEDUPLICATED || t.profile.scope() == Scope.ALL) {
-            return true;
-        }
-        return zone(s) == zone(bound.to)
+        return !tied(t, bound) || s.zone == bound.to.zone
                 && (t.profile.scope() == Scope.ZONE || s.listed.cell() == bound.to.listed.cell());
     }
 
@@ -402,10 +382,6 @@
         return best;
     }
 
-    private boolean own(Server s) {
-        return zone(s) == settings.zone();
-    }
-
     /** How many of a zone a request may go to; of another zone one fewer. */
     private double width(boolean own, boolean wide) {
         return wide ? Math.max(WIDE, subset()) : subset() - (own ? 0 : 1);
@@ -418,20 +394,24 @@
 
     /** Fills a side with those that a request may go to, in the order of their ids. */
     private void look(Side side, Ticket t, Attempt bound, boolean wide) {
-        side.clear();
+        side.weights = 0;
+        side.times = 0;
+        side.open = 0;
+        side.looked.clear();
+        side.roomy.clear();
         boolean own = side == near;
         double width = width(own, wide);
         if (!tied(t, bound)) {
             if (own) {
-                fleet.window(settings.zone(), width, side.looked);
+                fleet.window(home.ready, width, side.looked);
             } else {
-                fleet.windows(settings.zone(), width, side.looked);
+                fleet.windows(home, width, side.looked);
             }
-        } else if (own == own(bound.to)) {
+        } else if (own == (bound.to.zone == home)) {
             if (t.profile.scope() == Scope.CELL) {
                 fleet.cell(bound.to, width, side.looked);
             } else {
-                fleet.window(zone(bound.to), width, side.looked);
+                fleet.window(bound.to.zone.ready, width, side.looked);
             }
         }
     }
@@ -442,7 +422,8 @@
      */
     private Server trial(Ticket t, Attempt bound, boolean wide, long now) {
         for (Server s : fleet.inUse()) {
-            if (!s.ready() || !fleet.within(s, width(own(s), wide)) || !fit(s, t, bound, now)) { continue; }
+            boolean own = s.zone == home;
+            if (!s.ready() || !fleet.within(s, width(own, wide)) || !fit(s, t, bound, now)) { continue; }
             if (!s.ejected && silent(s, now)) { doubt(s, now); }
             if (s.ejected && now >= s.trialAt && bound == null
                     && (s.out == 0 || t.profile.effect() != Effect.AT_MOST_ONCE)) {
@@ -466,8 +447,8 @@
             side.weights += weight;
             // Where no report tells what a server holds, its busy share tells how long one waits there.
             double waits = s.blind ? 1 / Math.max(SPARE_FLOOR, s.spare) : 1;
-            side.times += weight * (way[zone(s)] + slow * (load + 1) * waits);
-            if (slow * load <= most - way[zone(s)] * ADMIT) {
+            side.times += weight * (s.zone.way + slow * (load + 1) * waits);
+            if (slow * load <= most - s.zone.way * ADMIT) {
                 side.open += weight;
                 side.roomy.add(s);
             }
@@ -542,9 +523,10 @@
         if (now - agedAt > AGE_NS) {
             double keep = Math.exp((agedAt - now) / RATE_NS);
             double hope = Math.exp((agedAt - now) / KIND_NS);
-            for (int z = 0; z < zoneRate.length; z++) {
-                zoneRate[z] *= keep;
-                usual[z] = 1 - hope * (1 - usual[z]);
+            for (Zone z : fleet.zones()) {
+                z.rate *= keep;
+                z.usual = 1 - hope * (1 - z.usual);
+                z.unheard = 1 / z.usual - 1;
             }
             keep = Math.exp((agedAt - now) / USUAL_NS);
             arrivals *= keep;
@@ -552,13 +534,10 @@
             good *= keep;
             lost *= keep;
             keep = Math.exp((agedAt - now) / OTHERS_NS);
-            for (int z = 0; z < unheard.length; z++) {
-                unheard[z] = 1 / usual[z] - 1;
-            }
             double kept = keep;
             recent.removeIf(s -> {
                 s.fresh *= kept;
-                s.others = s.fresh * s.heard + (1 - s.fresh) * unheard[zone(s)];
+                s.others = s.fresh * s.heard + (1 - s.fresh) * s.zone.unheard;
                 s.recent = s.fresh > FADED;
                 return !s.recent;
             });
@@ -648,7 +627,7 @@
         fleet.used(s);
         s.tokens--;
         sent++;
-        zoneRate[zone(s)] += 1.0 / fleet.ready(zone(s)); // of now: a zone that shrinks grows no budget by it
+        s.zone.rate += 1.0 / s.zone.ready.size(); // of now: a zone that shrinks grows no budget by it
         // An answer that would earn nothing leaves the server, unless a repeat would then run beside it.
         boolean cut = settings.mayCancel() && t.profile.lateShare() == 0
                 && !(t.profile.effect() == Effect.DEDUPLICATED && t.profile.scope() == Scope.ALL);
@@ -700,8 +679,7 @@
 
     /** The final answer where no attempt served: refused if a repeat is harmless, else failed. */
     private void end(Ticket t) {
-        if (bound(t) == null || t.profile.effect() == Effect.IDEMPOTENT
-                || t.profile.effect() == Effect.DEDUPLICATED && t.profile.scope() == Scope.ALL) {
+        if (bound(t) == null || t.profile.repeatsAnywhere()) {
             out.refuse(t.request.ticket(), settings.maxRetryAfterNs());
         } else {
             out.fail(t.request.ticket());
@@ -771,21 +749,22 @@
      * The way to a zone is what its quickest answer takes longer than that of the nearest zone. It is no
      * work: counted as such, a far server looks slow, and full with one request that is on its way.
      */
-    private void quicken(int z, long elapsed, long now) {
-        double keep = Math.exp((quickestAt[z] - now) / WAY_NS);
-        quickest[z] = Math.min(elapsed, elapsed - keep * (elapsed - quickest[z]));
-        quickestAt[z] = now;
-        double nearest = Arrays.stream(quickest).min().orElse(0);
-        for (int i = 0; i < way.length; i++) {
-            way[i] = quickest[i] == Double.MAX_VALUE ? 0 : quickest[i] - nearest;
+    private void quicken(Zone z, long elapsed, long now) {
+        double keep = Math.exp((z.quickestAt - now) / WAY_NS);
+        z.quickest = Math.min(elapsed, elapsed - keep * (elapsed - z.quickest));
+        z.quickestAt = now;
+        double nearest = Double.MAX_VALUE;
+        for (Zone each : fleet.zones()) { nearest = Math.min(nearest, each.quickest); }
+        for (Zone each : fleet.zones()) {
+            each.way = each.quickest == Double.MAX_VALUE ? 0 : each.quickest - nearest;
         }
     }
 
     private void learn(Ticket t, Attempt a, Outcome o, long now) {
         Server s = a.to;
         if (o.status() == Status.OK) {
-            quicken(zone(s), o.elapsedNs(), now);
-            double unit = Math.max(1000, o.elapsedNs() - way[zone(s)]) / (a.ahead + 1);
+            quicken(s.zone, o.elapsedNs(), now);
+            double unit = Math.max(1000, o.elapsedNs() - s.zone.way) / (a.ahead + 1);
             double m = median[t.request.profile()] == 0 ? o.elapsedNs() : median[t.request.profile()];
             median[t.request.profile()] = m * (o.elapsedNs() > m ? 1 + MEDIAN_STEP : 1 - MEDIAN_STEP);
             double q = quick[t.request.profile()] == 0 ? o.elapsedNs() : quick[t.request.profile()];
@@ -799,16 +778,15 @@
             s.owedSince = now;
             s.failures = 0;
             fleet.eject(s, false);
-            int kind = s.listed.kind() & 255;
+            Kind kind = kind(s.listed);
             double keep = Math.exp((s.learntAt - now) / PACE_NS);
             s.learntAt = now;
             unit *= warmth(s, now);
-            double gain = 1 - Math.exp((kindAt[kind] - now) / KIND_NS);
-            kindPace[kind] += gain * (unit - kindPace[kind]);
-            kindAt[kind] = now;
+            kind.pace += (1 - Math.exp((kind.learntAt - now) / KIND_NS)) * (unit - kind.pace);
+            kind.learntAt = now;
             s.seen = Math.min(PACE_ANSWERS, s.seen * keep + 1);
             s.ownPace += (unit - s.ownPace) / s.seen;
-            s.pace = (s.seen * s.ownPace + KIND_ANSWERS * kindPace[kind]) / (s.seen + KIND_ANSWERS);
+            s.pace = (s.seen * s.ownPace + KIND_ANSWERS * kind.pace) / (s.seen + KIND_ANSWERS);
         }
         if (o.status() == Status.FULL || o.status() == Status.TIMEOUT || o.status() == Status.CANCELLED) {
             lost++;
@@ -818,7 +796,7 @@
         if (o.status() == Status.FULL) {
             // No place: a jam that no report tells of, with so much work ahead at the least. A time-out tells
             // no such thing: one answer lost on its way says nothing of what the rest of its zone holds.
-            crowd(zone(s), Math.max(minPromise, o.elapsedNs()) / s.pace, now);
+            crowd(s.zone, Math.max(minPromise, o.elapsedNs()) / s.pace, now);
         }
         if (o.status() != Status.OK && o.status() != Status.MOOT && o.status() != Status.TIMEOUT
                 && o.status() != Status.CANCELLED) {
--- a/src/main/java/dewstage/Ranks.java
+++ b/src/main/java/dewstage/Ranks.java
@@ -20,15 +20,7 @@
 
         /** Where an id stands, or, as -1 - i, where it would. */
         private int find(int id) {
-            int low = 0;
-            int high = size - 1;
-            while (low <= high) {
-                int middle = (low + high) >>> 1;
-                if (ids[middle] == id) { return middle; }
-                low = ids[middle] < id ? middle + 1 : low;
-                high = ids[middle] < id ? high : middle - 1;
-            }
-            return -1 - low;
+            return Arrays.binarySearch(ids, 0, size, id);
         }
 
         private void insert(int at, Server s) {
--- a/src/main/java/dewstage/Server.java
+++ b/src/main/java/dewstage/Server.java
@@ -4,6 +4,8 @@
 final class Server {
     final int id;
     Balancer.Member listed;
+    /** The zone that it is listed in; the fleet writes it. */
+    Zone zone;
     /** Time of a request when warm: as used, as its own answers tell, and how many of them count. */
     double pace, ownPace, seen;
     /** The reported spare share, the factor made of it, the rotation's tally, the weight in the last look. */
@@ -20,7 +22,7 @@
     /** Its last report still says something of the others' requests: elsewhere the zone's mean is taken. */
     boolean recent;
     /** Where it stands in the fleet, which alone writes these: rank in its zone, and at which change. */
-    boolean attached, warm, inUse, leaving;
+    boolean attached, warm, inUse;
     int rank, rankedIn, namedIn;
 
     Server(Balancer.Member listed, double pace, double parallel, long now) {
--- a/src/test/java/dewstage/ModuleSizeTest.java
+++ b/src/test/java/dewstage/ModuleSizeTest.java
@@ -6,22 +6,53 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeSet;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
-/** The module is read aloud after an outage, so it stays short; comments count too. */
+/** The module is read aloud after an outage, so all its files together stay short; comments count too. */
 class ModuleSizeTest {
     private static final int MOST_LINES = 1200;
     private static final int MOST_COLUMNS = 110;
+    private static final Path SOURCES = Path.of("src/main/java/dewstage");
+    /** Beside the module: its interface, a plain map that any code may use, and the entry of the program. */
+    private static final List<String> OTHERS = List.of("Balancer.java", "IntMap.java", "Main.java");
+
+    /** The files that the deploy file names as the module. */
+    private static List<Path> files() throws IOException {
+        String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith("policy = ")).findFirst().orElseThrow();
+        return Pattern.compile("\"([^\"]+)\"").matcher(line).results().map(MatchResult::group)
+                .map(name -> Path.of(name.replace("\"", ""))).toList();
+    }
 
     private static List<String> lines() throws IOException {
-        return Files.readAllLines(Path.of("src/main/java/dewstage/Policy.java"));
+        List<String> lines = new ArrayList<>();
+        for (Path file : files()) {
+            lines.addAll(Files.readAllLines(file));
+        }
+        return lines;
+    }
+
+    @Test
+    void theDeployFileNamesEveryFileOfTheModule() throws IOException {
+        TreeSet<Path> expected = new TreeSet<>();
+        try (Stream<Path> sources = Files.list(SOURCES)) {
+            sources.filter(p -> p.toString().endsWith(".java"))
+                    .filter(p -> !OTHERS.contains(p.getFileName().toString())).forEach(expected::add);
+        }
+        assertTrue(expected.contains(SOURCES.resolve("Policy.java")), expected.toString());
+        assertEquals(expected, new TreeSet<>(files()));
     }
 
     @Test
     void theModuleStaysWithinItsLines() throws IOException {
         long count = lines().stream().filter(l -> !l.isBlank()).count();
-        assertTrue(count > 0 && count <= MOST_LINES, "Policy.java has " + count + " lines");
+        assertTrue(count > 0 && count <= MOST_LINES, "the module has " + count + " lines");
     }
 
     @Test
@@ -31,7 +62,7 @@
 
     @Test
     void theHeadOfTheModuleNamesItsInterface() throws IOException {
-        List<String> lines = lines();
+        List<String> lines = Files.readAllLines(SOURCES.resolve("Policy.java"));
         int type = lines.indexOf("public final class Policy implements Balancer {");
         assertTrue(lines.subList(0, type).stream().anyMatch(l -> l.contains("Balancer.java")));
     }
