End a request before its time by as much as the loop has lately stood still

Seen: a stall costs a request if it hides the end of its time.

Change: `Stalls` is now `LoopLag` and remembers the longest stall, forgotten to a third in 10 s. After a stall the module has to end a request that much before its time, at most a quarter of it; the backstop follows at half of that margin. With no stall the margin is 10 ms as before. A stall that no earlier one announced is not covered.

Test: after a stall of 0.8 s the module is told of 29.2 s of 30 s, and of 0.3 s of 0.4 s; without the change both cases fail (29.99 and 0.39 s).

--- a/src/main/java/dewstage/proxy/Client.java
+++ b/src/main/java/dewstage/proxy/Client.java
@@ -40,7 +40,7 @@
         long now();
 
         /** The earliest time at which what is read now may have come. */
-        long came();
+        long earliestArrival();
     }
 
     /** Requests that may wait behind one on a connection: enough for clients that await no answer. */
@@ -181,7 +181,7 @@
             byte[] bytes = new byte[body.readableBytes()];
             body.readBytes(bytes);
             add(new Waiting(new Message(head.method(), head.uri(), head.headers(), bytes), 0, null,
-                    owner.came(), HttpUtil.isKeepAlive(head)));
+                    owner.earliestArrival(), HttpUtil.isKeepAlive(head)));
             head = null;
             body = null;
             decoder.whole();
--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -61,13 +61,14 @@
     /** Answers to what made no sense, by status: a line of the log for each would be one for the asking. */
     private final Map<Integer, Integer> rejected = new TreeMap<>();
     private final Crowding crowding = new Crowding();
-    private final Stalls stalls = new Stalls();
+    private final LoopLag lag;
     private Channel listener;
     private boolean draining;
 
-    Frontend(Config config, Clock clock, Sockets.Share sockets, Taker taker) {
+    Frontend(Config config, Clock clock, LoopLag lag, Sockets.Share sockets, Taker taker) {
         this.config = config;
         this.clock = clock;
+        this.lag = lag;
         this.sockets = sockets;
         this.taker = taker;
         sockets.whenFull(this::closeOneIdle);
@@ -88,7 +89,7 @@
                     }
                 }).bind(config.listen());
         listener = bound.channel();
-        loop.scheduleWithFixedDelay(() -> stalls.beat(clock.now()), 0, Stalls.BEAT_NS, TimeUnit.NANOSECONDS);
+        loop.scheduleWithFixedDelay(() -> lag.beat(clock.now()), 0, LoopLag.BEAT_NS, TimeUnit.NANOSECONDS);
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(ids::age, AGE_MS, AGE_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::sayRejected, COUNT_MS, COUNT_MS, TimeUnit.MILLISECONDS);
@@ -176,8 +177,8 @@
     }
 
     @Override
-    public long came() {
-        return stalls.came(clock.now());
+    public long earliestArrival() {
+        return lag.earliestArrival(clock.now());
     }
 
     @Override
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -37,9 +37,12 @@
 public final class Proxy implements Balancer.Actions, Frontend.Taker, Discovery.Listener {
     /**
      * A timeout counts from the client's send and is kept when the answer has reached it. The module is told
-     * of so much less, and if it has not ended the request by the second margin, the backstop does.
+     * of so much less, and if it has not ended the request in half of that, the backstop does. Where the loop
+     * stood still lately the margin is as long as that stall, within a share of the timeout: what waits for an
+     * answer up to its last moment is lost in the next stall. The price is the rare answer that comes so late.
      */
-    private static final long MARGIN_NS = 10_000_000L, BACKSTOP_NS = 5_000_000L;
+    private static final long MARGIN_NS = 10_000_000L;
+    private static final double MARGIN_MOST = 0.25;
     /** With the list that it was started with a proxy serves if discovery says nothing for so long. */
     static final long LIST_WAIT_MS = 3000;
     /** After SIGTERM clients go on coming for 0.4 s at the most; then the listener closes. */
@@ -67,23 +70,27 @@
         final int ticket;
         final Client client;
         final Message message;
+        /** When the module has to have ended it, and when its client's time is over. */
         final long deadline;
+        final long timeUp;
         final List<Backends.Attempt> attempts = new ArrayList<>(2);
         int out;
         boolean over;
         ScheduledFuture<?> backstop;
 
-        Exchange(int ticket, Client client, Message message, long deadline) {
+        Exchange(int ticket, Client client, Message message, long deadline, long timeUp) {
             this.ticket = ticket;
             this.client = client;
             this.message = message;
             this.deadline = deadline;
+            this.timeUp = timeUp;
         }
     }
 
     private final Config config;
     private final EventLoop loop;
     private final Clock clock;
+    private final LoopLag lag = new LoopLag();
     private final Frontend frontend;
     private final Backends backends;
     private final Discovery discovery;
@@ -108,7 +115,7 @@
         this.watches = watches;
         this.loop = loop;
         Sockets sockets = new Sockets(config.sockets());
-        this.frontend = new Frontend(config, clock, sockets.clients, this);
+        this.frontend = new Frontend(config, clock, lag, sockets.clients, this);
         this.discovery = new Discovery(loop, config, this);
         this.backends = new Backends(loop, clock, sockets.backends, config, transport, discovery::listed);
         this.balancer = factory.create(config.settings(), config.seed(), clock.now(), this);
@@ -337,14 +344,16 @@
         do {
             tickets++;
         } while (tickets == 0 || exchanges.containsKey(tickets));
-        long margin = Math.min(MARGIN_NS, asked.timeoutNs() / 4);
-        Exchange x = new Exchange(tickets, client, message, at + asked.timeoutNs() - margin);
+        long now = clock.now();
+        long margin = (long) Math.min(asked.timeoutNs() * MARGIN_MOST, Math.max(MARGIN_NS, lag.longest(now)));
+        long timeUp = at + asked.timeoutNs();
+        Exchange x = new Exchange(tickets, client, message, timeUp - margin, timeUp);
         exchanges.put(x.ticket, x);
         byClient.put(client, x);
-        x.backstop = loop.schedule(() -> overdue(x), Math.max(0, x.deadline + margin
-                - Math.min(BACKSTOP_NS, margin / 2) - clock.now()), TimeUnit.NANOSECONDS);
-        tell(x.ticket, now -> balancer.onRequest(now, new Request(x.ticket, asked.profile(), asked.tenant(),
-                asked.key(), Math.max(0, x.deadline - now), asked.hintNs(), asked.repeat())));
+        x.backstop = loop.schedule(() -> overdue(x), Math.max(0, timeUp - margin / 2 - now),
+                TimeUnit.NANOSECONDS);
+        tell(x.ticket, told -> balancer.onRequest(told, new Request(x.ticket, asked.profile(), asked.tenant(),
+                asked.key(), Math.max(0, x.deadline - told), asked.hintNs(), asked.repeat())));
     }
 
     /** The module has not ended it in time: that must not leave the client with no answer. */
@@ -385,7 +394,7 @@
     }
 
     private void answer(Exchange x, int status, HttpHeaders headers, byte[] body) {
-        long late = clock.now() - x.deadline - MARGIN_NS;
+        long late = clock.now() - x.timeUp;
         if (late > 0) {
             say("answered " + TimeUnit.NANOSECONDS.toMillis(late) + " ms late, ticket " + x.ticket);
         }
--- a/src/test/java/dewstage/proxy/FrontendTest.java
+++ b/src/test/java/dewstage/proxy/FrontendTest.java
@@ -388,4 +388,28 @@
             }
         }
     }
+
+    /** Waits until the loop has beaten at the time that the test's clock shows. */
+    private void awaitBeat() throws Exception {
+        setup.loop.schedule(() -> { }, 2 * LoopLag.BEAT_NS, TimeUnit.NANOSECONDS).get(20, TimeUnit.SECONDS);
+    }
+
+    /** An answer that is awaited up to the last moment is lost if the next stall begins before that. */
+    @ParameterizedTest
+    @CsvSource({"30, 0.8", "0.4, 0.1"})
+    void afterAStallTheModuleHasToEndARequestBeforeTheNextOneMayHideItsDeadline(double timeoutS, double marginS)
+            throws Exception {
+        try (Peer.Wire client = setup.client()) {
+            setup.clock.stop();
+            awaitBeat();
+            setup.clock.pass(800_000_000L);
+            awaitBeat();
+            setup.clock.pass(LoopLag.BEAT_NS); // what comes now has come behind the stall
+
+            client.write(Setup.get("Request-Timeout: " + timeoutS + "\r\n"));
+
+            double leftS = setup.request().leftNs() / 1e9;
+            assertEquals(timeoutS - marginS, leftS, 0.01);
+        }
+    }
 }
