Rename what remained of the house style in the proxy's events, lists and log

Names only: `News` is ListUpdate, `hear`/`learn`/`news` are apply and onListUpdate, `tell` (the proxy's queue of events for the module) is enqueue, `say` is Log.line, `Asked` is RequestTerms, the scale tool's `Sayings` are LoggedLines, `heard` is what it does in each place.

--- a/src/main/java/dewstage/proxy/Backends.java
+++ b/src/main/java/dewstage/proxy/Backends.java
@@ -131,9 +131,9 @@
     // ---- the list ----
 
     /** Hears what changes. A first list finds nothing in use, and later ones name whoever is gone. */
-    void learn(Discovery.News news) {
+    void apply(Discovery.ListUpdate listUpdate) {
         long now = clock.now();
-        for (Discovery.Listed l : news.list()) {
+        for (Discovery.Listed l : listUpdate.list()) {
             State state = l.member().state();
             Backend b = inUse.get(l.member().id());
             if (b == null && state == State.DRAINING) {
@@ -141,12 +141,12 @@
                 inUse.put(b.id, b);
             }
             if (b != null) {
-                learn(b, l, state, now);
+                apply(b, l, state, now);
             }
         }
     }
 
-    private void learn(Backend b, Discovery.Listed l, State state, long now) {
+    private void apply(Backend b, Discovery.Listed l, State state, long now) {
         InetSocketAddress address = l.address();
         boolean moved = address != null && !address.equals(b.address);
         if (moved || l.member().bootNs() > b.bootNs) {
--- a/src/main/java/dewstage/proxy/Crowding.java
+++ b/src/main/java/dewstage/proxy/Crowding.java
@@ -26,11 +26,11 @@
     }
 
     /** One line, if places ran out since the last, and all begins anew. */
-    void say() {
+    void report() {
         if (refused + unused + used > 0) {
             String youngest = unused == 0 ? ""
                     : ", the youngest after " + TimeUnit.NANOSECONDS.toMillis(youngestNs) + " ms";
-            Proxy.say("too few places for clients: of " + accepted + " accepted " + refused
+            Log.line("too few places for clients: of " + accepted + " accepted " + refused
                     + " closed at once; closed to make room: " + unused + " with nothing asked" + youngest
                     + ", " + used + " idle; requests taken: " + requests);
         }
--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -82,7 +82,7 @@
     }
 
     /** One piece of news, in order: after the first list only what differs from the ones before. */
-    record News(ListKind kind, long version, List<Listed> list) {
+    record ListUpdate(ListKind kind, long version, List<Listed> list) {
         /** What the module hears of it: a view, since a list may be long. */
         List<Member> members() {
             return new AbstractList<>() {
@@ -101,7 +101,7 @@
 
     /** Who hears of it: news, or that the watch failed. */
     interface Listener {
-        void news(News news);
+        void onListUpdate(ListUpdate listUpdate);
 
         void failed();
     }
@@ -154,36 +154,36 @@
     }
 
     /** The list that the proxy was started with; null if there is none that can be read. */
-    News known() {
+    ListUpdate known() {
         try (JsonParser parser = config.known().open()) {
             JsonToken first = parser.nextToken();
             if (first != JsonToken.START_OBJECT) {
                 return null;
             }
-            News news = read(parser, first);
-            return new News(ListKind.CACHED, news.version(), news.list());
+            ListUpdate listUpdate = read(parser, first);
+            return new ListUpdate(ListKind.CACHED, listUpdate.version(), listUpdate.list());
         } catch (IOException | IllegalArgumentException e) {
-            Proxy.say("the known list is not used: " + firstLine(e));
+            Log.line("the known list is not used: " + firstLine(e));
             return null;
         }
     }
 
     /** Takes in a list from elsewhere; throws IllegalArgumentException if it is none. */
-    News read(JsonParser parser) throws IOException {
+    ListUpdate read(JsonParser parser) throws IOException {
         return read(parser, parser.nextToken());
     }
 
-    private News read(JsonParser parser, JsonToken first) throws IOException {
+    private ListUpdate read(JsonParser parser, JsonToken first) throws IOException {
         ListReader reader = new ListReader(membership, config);
-        News news = reader.take(parser, first);
-        while (news == null) {
+        ListUpdate listUpdate = reader.take(parser, first);
+        while (listUpdate == null) {
             JsonToken t = parser.nextToken();
             if (t == null) {
                 throw new IllegalArgumentException("it has no end");
             }
-            news = reader.take(parser, t);
+            listUpdate = reader.take(parser, t);
         }
-        return news;
+        return listUpdate;
     }
 
     /** What is listed under a number; null if nothing is. */
@@ -252,7 +252,7 @@
                 }).connect(address);
         watch = connect.channel();
         if (Sockets.noneFor(connect)) {
-            Proxy.say("discovery cannot be called: " + connect.cause());
+            Log.line("discovery cannot be called: " + connect.cause());
             ended(watch);
         } else {
             watch.closeFuture().addListener(f -> ended(connect.channel()));
@@ -310,16 +310,16 @@
                     "/catalog/members?stream=1" + from);
             get.headers().set(HttpHeaderNames.HOST, ctx.channel().remoteAddress().toString().substring(1));
             ctx.writeAndFlush(get);
-            heard(ctx, ANSWER_MS);
+            restartSilenceTimer(ctx, ANSWER_MS);
         }
 
         /** A discovery that is cut off leaves the watch open and silent: give it up. */
-        private void heard(ChannelHandlerContext ctx, long nextMs) {
+        private void restartSilenceTimer(ChannelHandlerContext ctx, long nextMs) {
             if (silence != null) {
                 silence.cancel(false);
             }
             silence = loop.schedule(() -> {
-                Proxy.say("discovery is silent: the watch is opened again");
+                Log.line("discovery is silent: the watch is opened again");
                 ctx.close();
             }, nextMs, TimeUnit.MILLISECONDS);
         }
@@ -335,7 +335,7 @@
                 return;
             }
             if (message instanceof HttpResponse) {
-                heard(ctx, silenceMs);
+                restartSilenceTimer(ctx, silenceMs);
             }
             if (message instanceof HttpContent content) {
                 read(ctx, content.content());
@@ -349,13 +349,13 @@
             // An empty line is a sign of life between lists; inside one it brings that no nearer to its end.
             boolean blank = bytes.forEachByte(b -> b >= 0 && b <= ' ') < 0;
             if (lists.between() || !blank) {
-                heard(ctx, silenceMs);
+                restartSilenceTimer(ctx, silenceMs);
             }
             try {
                 stream.feed(ByteBufUtil.getBytes(bytes), (parser, token) -> {
-                    News news = lists.take(parser, token);
-                    if (news != null) {
-                        take(news);
+                    ListUpdate listUpdate = lists.take(parser, token);
+                    if (listUpdate != null) {
+                        take(listUpdate);
                     }
                 });
                 listBytes = lists.between() ? 0 : listBytes + bytes.readableBytes();
@@ -364,19 +364,19 @@
                 }
             } catch (TooLargeException | StreamConstraintsException e) {
                 refused = true;
-                Proxy.say("a list of discovery is too large, the old one stands: " + firstLine(e));
+                Log.line("a list of discovery is too large, the old one stands: " + firstLine(e));
                 ctx.close();
             } catch (IOException | IllegalArgumentException e) {
                 // It may have been news: only a new watch from the last version is sure to bring it.
-                Proxy.say("a list of discovery is not understood: " + firstLine(e));
+                Log.line("a list of discovery is not understood: " + firstLine(e));
                 ctx.close();
             }
         }
 
-        private void take(News news) {
-            version = news.version();
+        private void take(ListUpdate listUpdate) {
+            version = listUpdate.version();
             pauseMs = FIRST_PAUSE_MS;
-            listener.news(news);
+            listener.onListUpdate(listUpdate);
         }
 
         @Override
--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -30,7 +30,7 @@
     interface Taker {
         boolean ready();
 
-        void taken(Client client, Message message, Asked asked, long at);
+        void taken(Client client, Message message, RequestTerms terms, long at);
 
         /** The client has gone away before its answer. */
         void gone(Client client);
@@ -119,10 +119,10 @@
 
     private void sayRejected() {
         if (!rejected.isEmpty()) {
-            Proxy.say("requests that made no sense, by status: " + rejected);
+            Log.line("requests that made no sense, by status: " + rejected);
             rejected.clear();
         }
-        crowding.say();
+        crowding.report();
     }
 
     /** Answers from now on end their connections. */
@@ -199,7 +199,7 @@
         }
         Profile p = config.settings().profiles().get(profile);
         HttpMethod method = p.effect() == Effect.IDEMPOTENT ? HttpMethod.GET : HttpMethod.POST;
-        String wrong = Asked.wrong(m, p);
+        String wrong = RequestTerms.wrong(m, p);
         if (!m.method().equals(method)) {
             client.answer(405, null, "this class takes " + method);
         } else if (wrong != null) {
@@ -209,7 +209,7 @@
         } else {
             client.take(m);
             crowding.requests++;
-            taker.taken(client, m, Asked.of(m, profile, config), at);
+            taker.taken(client, m, RequestTerms.of(m, profile, config), at);
         }
     }
 
--- a/src/main/java/dewstage/proxy/HollowProxy.java
+++ b/src/main/java/dewstage/proxy/HollowProxy.java
@@ -67,7 +67,7 @@
     /** A request comes whose client leaves after so long. To be called on the loop. */
     public void request(int profile, long leftNs) {
         int ticket = ++tickets;
-        tell(now -> balancer.onRequest(now, new Request(ticket, profile, 0, 0, leftNs, 0, false)));
+        enqueue(now -> balancer.onRequest(now, new Request(ticket, profile, 0, 0, leftNs, 0, false)));
     }
 
     /** Ends the watch; timers that are set do nothing any more. To be called on the loop. */
@@ -77,7 +77,7 @@
     }
 
     /** Never from inside an action of the module: it is all told in a turn of its own. */
-    private void tell(LongConsumer event) {
+    private void enqueue(LongConsumer event) {
         loop.execute(() -> {
             if (stopped) {
                 return;
@@ -91,17 +91,17 @@
     }
 
     @Override
-    public void news(Discovery.News news) {
-        List<Member> members = news.members();
-        tell(now -> {
-            balancer.onMembers(now, news.kind(), news.version(), members);
-            observer.inForce(news.kind(), news.version(), members);
+    public void onListUpdate(Discovery.ListUpdate listUpdate) {
+        List<Member> members = listUpdate.members();
+        enqueue(now -> {
+            balancer.onMembers(now, listUpdate.kind(), listUpdate.version(), members);
+            observer.inForce(listUpdate.kind(), listUpdate.version(), members);
         });
     }
 
     @Override
     public void failed() {
-        tell(now -> balancer.onMembers(now, ListKind.FAILED, 0, List.of()));
+        enqueue(now -> balancer.onMembers(now, ListKind.FAILED, 0, List.of()));
     }
 
     @Override
@@ -109,7 +109,7 @@
         observer.sent(server);
         long sentAt = clock.now();
         // It is served at the first attempt, and over with it: a second one never comes.
-        loop.schedule(() -> tell(now -> balancer.onOutcome(now,
+        loop.schedule(() -> enqueue(now -> balancer.onOutcome(now,
                 new Outcome(ticket, 0, server, Status.OK, now - sentAt, true, null))),
                 answerNs, TimeUnit.NANOSECONDS);
     }
@@ -131,7 +131,7 @@
 
     @Override
     public void timer(long at, long token) {
-        loop.schedule(() -> tell(now -> balancer.onTimer(now, token)), Math.max(0, at - clock.now()),
+        loop.schedule(() -> enqueue(now -> balancer.onTimer(now, token)), Math.max(0, at - clock.now()),
                 TimeUnit.NANOSECONDS);
     }
 
@@ -147,7 +147,7 @@
 
     @Override
     public void log(String line) {
-        Proxy.say(line);
+        Log.line(line);
     }
 
     @Override
--- a/src/main/java/dewstage/proxy/LibraryLog.java
+++ b/src/main/java/dewstage/proxy/LibraryLog.java
@@ -23,7 +23,7 @@
         if (isLoggable(r)) {
             Throwable thrown = r.getThrown();
             StackTraceElement[] trace = thrown == null ? new StackTraceElement[0] : thrown.getStackTrace();
-            Proxy.say(r.getLevel().getName() + " " + r.getMessage() + (thrown == null ? "" : ": " + thrown)
+            Log.line(r.getLevel().getName() + " " + r.getMessage() + (thrown == null ? "" : ": " + thrown)
                     + (trace.length > 0 ? " at " + trace[0] : ""));
         }
     }
--- a/src/main/java/dewstage/proxy/ListReader.java
+++ b/src/main/java/dewstage/proxy/ListReader.java
@@ -51,7 +51,7 @@
     }
 
     /** Takes in one token; returns the news if a list ends with it, else null. */
-    Discovery.News take(JsonParser parser, JsonToken token) throws IOException {
+    Discovery.ListUpdate take(JsonParser parser, JsonToken token) throws IOException {
         if (skipping > 0) {
             skipping += token.isStructStart() ? 1 : token.isStructEnd() ? -1 : 0;
         } else if (token == JsonToken.FIELD_NAME) {
@@ -80,13 +80,13 @@
         listed = false;
     }
 
-    private Discovery.News end() {
+    private Discovery.ListUpdate end() {
         if (generation == null || !listed) {
             throw new IllegalArgumentException("no generation or instances");
         }
-        Discovery.News news = update.end(generation, whole);
+        Discovery.ListUpdate listUpdate = update.end(generation, whole);
         update = null;
-        return news;
+        return listUpdate;
     }
 
     private void top(JsonParser parser, JsonToken token) throws IOException {
--- a/src/main/java/dewstage/proxy/LoopLag.java
+++ b/src/main/java/dewstage/proxy/LoopLag.java
@@ -5,8 +5,8 @@
 /**
  * Notices when the event loop stood still, stopped by the system or short of a core, and remembers how long.
  * What is read right after a stall may have come at any time since its start: a request counted from its
- * reading would be answered by so much too late. Hurts only what has just come then: it has less time than its
- * client gave it.
+ * reading would be answered by so much too late. Hurts only what has just come then: it has less time than
+ * its client gave it.
  */
 final class LoopLag {
     /** The loop's own heartbeat; with none for twice as long it stood still. */
@@ -27,7 +27,7 @@
             until = now + BEAT_NS;
             longest = Math.max(longest(now), now - beatAt);
             longestAt = now;
-            Proxy.say("stood still for " + TimeUnit.NANOSECONDS.toMillis(now - beatAt) + " ms");
+            Log.line("stood still for " + TimeUnit.NANOSECONDS.toMillis(now - beatAt) + " ms");
         }
         beatAt = now;
     }
@@ -40,7 +40,7 @@
         return now < until ? since : now;
     }
 
-    /** The stall to reckon with, in ns: the longest seen lately, less the longer it is ago; 0 with none seen. */
+    /** The stall to reckon with, in ns: the longest seen lately, less the longer it is ago; 0 if none was. */
     long longest(long now) {
         long seen = (long) (longest * Math.exp((longestAt - now) / (double) MEMORY_NS));
         return stalled(now) ? Math.max(seen, now - beatAt) : seen;
--- a/src/main/java/dewstage/proxy/Membership.java
+++ b/src/main/java/dewstage/proxy/Membership.java
@@ -46,7 +46,7 @@
     private final long room;
     private Entries held = new Entries();
     private int lists;
-    private boolean told;
+    private boolean delivered;
 
     /** All that is listed, with what the module makes of it, may take so many bytes. */
     Membership(long room) {
@@ -130,7 +130,7 @@
         }
 
         /** The list has come to its end and counts from now on; returns what it changes. */
-        Discovery.News end(long version, boolean whole) {
+        Discovery.ListUpdate end(long version, boolean whole) {
             if (order.size() > staged.size()) {
                 order.removeIf(l -> staged.get(l.member().id()) != l);
             }
@@ -159,9 +159,9 @@
                 });
                 leaving.forEach(held::remove);
             }
-            ListKind kind = whole && !told ? ListKind.FULL : ListKind.DELTA;
-            told = true;
-            return new Discovery.News(kind, version, order);
+            ListKind kind = whole && !delivered ? ListKind.FULL : ListKind.DELTA;
+            delivered = true;
+            return new Discovery.ListUpdate(kind, version, order);
         }
     }
 }
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -37,9 +37,10 @@
 public final class Proxy implements Balancer.Actions, Frontend.Taker, Discovery.Listener {
     /**
      * A timeout counts from the client's send and is kept when the answer has reached it. The module is told
-     * of so much less, and if it has not ended the request in half of that, the backstop does. Where the loop
-     * stood still lately the margin is as long as that stall, within a share of the timeout: what waits for an
-     * answer up to its last moment is lost in the next stall. The price is the rare answer that comes so late.
+     * of so much less, and if it has not ended the request in half of that, the backstop does. Where the
+     * loop stood still lately the margin is as long as that stall, within a share of the timeout: what waits
+     * for an answer up to its last moment is lost in the next stall. The price is the rare answer that comes
+     * so late.
      */
     private static final long MARGIN_NS = 10_000_000L;
     private static final double MARGIN_MOST = 0.25;
@@ -130,12 +131,12 @@
         // The default would end the process, so this comes first: an early signal waits for the proxy.
         CompletableFuture<Proxy> started = new CompletableFuture<>();
         if (!Signals.on("HUP", () -> started.thenAccept(p -> p.reload(environment)))) {
-            say("this runtime cannot hear SIGHUP: the configuration is read at the start only");
+            Log.line("this runtime cannot hear SIGHUP: the configuration is read at the start only");
         }
         LibraryLog.install();
-        say("starting");
+        Log.line("starting");
         Config config = Config.read(environment);
-        say("served " + Rehearsal.run(config, factory, REHEARSED, REHEARSAL_MS) + " requests of a rehearsal");
+        playRehearsal(config, factory);
         EventLoop loop = newLoop();
         // Before the listener opens: from then on there may be something to answer.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -144,7 +145,7 @@
                 // A process that a signal ends reports the signal; this one has ended well.
                 Runtime.getRuntime().halt(0);
             } catch (CompletionException e) {
-                say("nothing to drain"); // it could not start, or its loop is gone
+                Log.line("nothing to drain"); // it could not start, or its loop is gone
             }
         }, "drain"));
         try {
@@ -161,11 +162,16 @@
     public static void rehearse(Map<String, String> environment, Balancer.Factory factory)
             throws ConfigException, IOException {
         Config config = Config.read(environment);
-        say("served " + Rehearsal.run(config, factory, REHEARSED, REHEARSAL_MS) + " requests of a rehearsal");
+        playRehearsal(config, factory);
         Proxy proxy = start(config, newLoop(), factory, new Clock());
         proxy.drain().join();
     }
 
+    private static void playRehearsal(Config config, Balancer.Factory factory) {
+        int served = Rehearsal.run(config, factory, REHEARSED, REHEARSAL_MS);
+        Log.line("served " + served + " requests of a rehearsal");
+    }
+
     /** The one event loop of a process that serves. */
     static EventLoop newLoop() {
         return new MultiThreadIoEventLoopGroup(1, NonPollingIoHandler.over(NioIoHandler.newFactory())).next();
@@ -197,10 +203,10 @@
     }
 
     private void begin() {
-        Discovery.News known = discovery.known();
+        Discovery.ListUpdate known = discovery.known();
         if (known != null) {
             discovery.startFrom(known.version());
-            hear(known);
+            apply(known);
         }
         if (!config.settings().askForList()) {
             discovery.watch(true);
@@ -228,7 +234,7 @@
             Config config = Config.reread(environment);
             loop.execute(() -> reload(config));
         } catch (ConfigException e) {
-            say("the new configuration is not used: " + e.getMessage());
+            Log.line("the new configuration is not used: " + e.getMessage());
         }
     }
 
@@ -237,14 +243,14 @@
      * on. To be called on the loop.
      */
     void reload(Config config) {
-        say("a new configuration: discovery is at " + config.discovery());
+        Log.line("a new configuration: discovery is at " + config.discovery());
         discovery.move(config.discovery());
     }
 
     /** Answers what has been taken and what still comes; the future is done once all is answered. */
     CompletableFuture<Void> drain() {
         loop.execute(() -> {
-            say("draining");
+            Log.line("draining");
             frontend.drain();
             loop.schedule(() -> {
                 frontend.close();
@@ -257,7 +263,7 @@
 
     private void whenEmpty() {
         if (byClient.isEmpty() && (frontend.open() == 0 || clock.now() - answeredAt >= DRAIN_SLACK_NS)) {
-            say("drained");
+            Log.line("drained");
             ended.complete(null);
         } else {
             loop.schedule(this::whenEmpty, DRAIN_LOOK_MS, TimeUnit.MILLISECONDS);
@@ -266,12 +272,7 @@
 
     @Override
     public void log(String line) {
-        say(line);
-    }
-
-    /** The log: one line on standard error. */
-    static void say(String line) {
-        System.err.println(System.currentTimeMillis() + " " + line);
+        Log.line(line);
     }
 
     // ---- events ----
@@ -280,14 +281,14 @@
      * The module hears of everything in order, on a clock that stands still for what one wake-up brings, and
      * never from inside one of its own actions.
      */
-    private void tell(int ticket, Event event) {
+    private void enqueue(int ticket, Event event) {
         events.add(now -> {
             try {
                 event.at(now);
             } catch (RuntimeException e) {
                 // A slip of the module costs one request, not all that the proxy holds.
                 StackTraceElement[] trace = e.getStackTrace();
-                say("the module failed: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
+                Log.line("the module failed: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
                 fail(ticket);
             }
         });
@@ -306,8 +307,8 @@
     }
 
     @Override
-    public void news(Discovery.News news) {
-        hear(news);
+    public void onListUpdate(Discovery.ListUpdate listUpdate) {
+        apply(listUpdate);
         listed();
     }
 
@@ -315,23 +316,23 @@
     private void listed() {
         if (!listed) {
             listed = true;
-            say("ready");
+            Log.line("ready");
         }
     }
 
     /** Takes in a list that no discovery has sent. */
-    void hear(JsonParser list) throws IOException {
-        hear(discovery.read(list));
+    void apply(JsonParser list) throws IOException {
+        apply(discovery.read(list));
     }
 
-    private void hear(Discovery.News news) {
-        backends.learn(news);
-        tell(0, now -> balancer.onMembers(now, news.kind(), news.version(), news.members()));
+    private void apply(Discovery.ListUpdate update) {
+        backends.apply(update);
+        enqueue(0, now -> balancer.onMembers(now, update.kind(), update.version(), update.members()));
     }
 
     @Override
     public void failed() {
-        tell(0, now -> balancer.onMembers(now, ListKind.FAILED, 0, List.of()));
+        enqueue(0, now -> balancer.onMembers(now, ListKind.FAILED, 0, List.of()));
     }
 
     @Override
@@ -340,26 +341,29 @@
     }
 
     @Override
-    public void taken(Client client, Message message, Asked asked, long at) {
+    public void taken(Client client, Message message, RequestTerms terms, long at) {
         do {
             tickets++;
         } while (tickets == 0 || exchanges.containsKey(tickets));
         long now = clock.now();
-        long margin = (long) Math.min(asked.timeoutNs() * MARGIN_MOST, Math.max(MARGIN_NS, lag.longest(now)));
-        long timeUp = at + asked.timeoutNs();
+        long margin = (long) Math.min(terms.timeoutNs() * MARGIN_MOST, Math.max(MARGIN_NS, lag.longest(now)));
+        long timeUp = at + terms.timeoutNs();
         Exchange x = new Exchange(tickets, client, message, timeUp - margin, timeUp);
         exchanges.put(x.ticket, x);
         byClient.put(client, x);
         x.backstop = loop.schedule(() -> overdue(x), Math.max(0, timeUp - margin / 2 - now),
                 TimeUnit.NANOSECONDS);
-        tell(x.ticket, told -> balancer.onRequest(told, new Request(x.ticket, asked.profile(), asked.tenant(),
-                asked.key(), Math.max(0, x.deadline - told), asked.hintNs(), asked.repeat())));
+        enqueue(x.ticket, told -> {
+            long left = Math.max(0, x.deadline - told);
+            balancer.onRequest(told, new Request(x.ticket, terms.profile(), terms.tenant(), terms.key(), left,
+                    terms.hintNs(), terms.repeat()));
+        });
     }
 
     /** The module has not ended it in time: that must not leave the client with no answer. */
     private void overdue(Exchange x) {
         if (!x.over) {
-            say("no answer in time, ticket " + x.ticket);
+            Log.line("no answer in time, ticket " + x.ticket);
             answer(x, 504, null, "no answer in time\n".getBytes(StandardCharsets.UTF_8));
             withdraw(x);
         }
@@ -387,7 +391,7 @@
         for (int i = 0; i < x.attempts.size(); i++) {
             cancel(x.ticket, i);
         }
-        tell(x.ticket, now -> {
+        enqueue(x.ticket, now -> {
             balancer.onWithdrawn(now, x.ticket);
             forget(x);
         });
@@ -396,7 +400,7 @@
     private void answer(Exchange x, int status, HttpHeaders headers, byte[] body) {
         long late = clock.now() - x.timeUp;
         if (late > 0) {
-            say("answered " + TimeUnit.NANOSECONDS.toMillis(late) + " ms late, ticket " + x.ticket);
+            Log.line("answered " + TimeUnit.NANOSECONDS.toMillis(late) + " ms late, ticket " + x.ticket);
         }
         finish(x);
         x.client.answer(status, headers, body);
@@ -424,7 +428,7 @@
                     "the backend cannot use this request\n".getBytes(StandardCharsets.UTF_8));
         }
         long elapsed = clock.now() - startedAt;
-        tell(x.ticket, now -> {
+        enqueue(x.ticket, now -> {
             x.out--;
             balancer.onOutcome(now, new Outcome(x.ticket, number, server, status, elapsed, x.over, report));
             forget(x);
@@ -437,8 +441,8 @@
     public void send(int ticket, int server, long timeoutNs) {
         Exchange x = exchanges.get(ticket);
         if (x == null) {
-            say("an attempt for ticket " + ticket + ", which is over");
-            tell(0, now -> balancer.onOutcome(now,
+            Log.line("an attempt for ticket " + ticket + ", which is over");
+            enqueue(0, now -> balancer.onOutcome(now,
                     new Outcome(ticket, 0, server, Status.MOOT, 0, true, null)));
             return;
         }
@@ -488,7 +492,7 @@
 
     @Override
     public void timer(long at, long token) {
-        loop.schedule(() -> tell(0, now -> balancer.onTimer(now, token)), Math.max(0, at - clock.now()),
+        loop.schedule(() -> enqueue(0, now -> balancer.onTimer(now, token)), Math.max(0, at - clock.now()),
                 TimeUnit.NANOSECONDS);
     }
 
--- a/src/main/java/dewstage/proxy/Rehearsal.java
+++ b/src/main/java/dewstage/proxy/Rehearsal.java
@@ -80,7 +80,7 @@
             }).get();
             return done.get();
         } catch (Exception e) {
-            Proxy.say("no rehearsal: " + e);
+            Log.line("no rehearsal: " + e);
             return 0;
         } finally {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
@@ -111,7 +111,7 @@
                 return;
             }
             try (JsonParser list = list().traverse()) {
-                proxy.hear(list);
+                proxy.apply(list);
             }
             for (int i = 0; i < CLIENTS; i++) {
                 connect();
--- a/src/main/java/dewstage/proxy/Asked.java
+++ b/src/main/java/dewstage/proxy/RequestTerms.java
@@ -9,7 +9,7 @@
 import java.util.regex.Pattern;
 
 /** What a request asks of the module: the class and tenant by place, the rest as the client said it. */
-record Asked(int profile, int tenant, long key, long timeoutNs, long hintNs, boolean repeat) {
+record RequestTerms(int profile, int tenant, long key, long timeoutNs, long hintNs, boolean repeat) {
     /** No client waits longer; more is a slip of the pen. */
     private static final double LONGEST_TIMEOUT_S = 3600;
     /** Ids and keys: what any backend can read, and no longer than makes sense. */
@@ -52,8 +52,8 @@
         return s > 0 && s <= LONGEST_TIMEOUT_S ? (long) (s * 1e9) : 0;
     }
 
-    static Asked of(Message m, int profile, Config config) {
-        return new Asked(profile, Math.max(0, config.tenants().indexOf(m.headers().get("Tenant", ""))),
+    static RequestTerms of(Message m, int profile, Config config) {
+        return new RequestTerms(profile, Math.max(0, config.tenants().indexOf(m.headers().get("Tenant", ""))),
                 key(m.headers().get(HttpHeaderNames.COOKIE)), timeout(m), hint(m),
                 "1".equals(m.headers().get("Client-Retry")));
     }
--- a/src/main/java/dewstage/scale/Arrival.java
+++ b/src/main/java/dewstage/scale/Arrival.java
@@ -19,8 +19,8 @@
     }
 
     /** Called on the proxy's loop. */
-    void heard(int proxy, long heard, long now) {
-        if (heard >= version && at.get(proxy) == 0) {
+    void received(int proxy, long received, long now) {
+        if (received >= version && at.get(proxy) == 0) {
             at.set(proxy, Math.max(1, now - sentAt));
             left.countDown();
         }
--- a/src/main/java/dewstage/scale/ChangesExperiment.java
+++ b/src/main/java/dewstage/scale/ChangesExperiment.java
@@ -115,7 +115,7 @@
                     if (run.deadline().over()) {
                         return;
                     }
-                    run.progress().say("round " + round + ": " + rate + " changes a second");
+                    run.progress().log("round " + round + ": " + rate + " changes a second");
                     long from = System.nanoTime();
                     Sample s = steady(stage, rate);
                     double seconds = (System.nanoTime() - from) / NS_PER_S;
--- a/src/main/java/dewstage/scale/ColdSums.java
+++ b/src/main/java/dewstage/scale/ColdSums.java
@@ -52,7 +52,7 @@
                 if (run.deadline().over()) {
                     return;
                 }
-                run.progress().say("round " + round + ": cold backends, " + proxies + " proxies");
+                run.progress().log("round " + round + ": cold backends, " + proxies + " proxies");
                 try (Stage stage = new Stage(run, new Point(cold.entries(proxies), proxies, 1), round,
                         options.seed + round)) {
                     measure(table, stage, round, event);
--- a/src/main/java/dewstage/scale/FleetExperiment.java
+++ b/src/main/java/dewstage/scale/FleetExperiment.java
@@ -51,16 +51,16 @@
 
     @Override
     final boolean measure(Run run) throws Exception {
-        try (Sayings sayings = new Sayings()) {
+        try (LoggedLines loggedLines = new LoggedLines()) {
             boolean whole = measureAll(run);
-            sayings.report(run.report());
+            loggedLines.report(run.report());
             return whole;
         }
     }
 
     private boolean measureAll(Run run) throws Exception {
         run.report().given("changes", changes);
-        run.progress().say("warming up");
+        run.progress().log("warming up");
         Point least = new Point(options.entries.get(0), options.proxies.get(0), changes.get(0));
         for (Deadline warm = new Deadline(warmUp); !warm.over();) {
             measure(run, least, 0, new Samples()); // code that is not compiled yet costs more
@@ -74,7 +74,7 @@
                     whole = false;
                     break;
                 }
-                run.progress().say("round " + round + ": " + point);
+                run.progress().log("round " + round + ": " + point);
                 measure(run, point, round, samples);
             }
         }
--- a/src/main/java/dewstage/scale/Hollows.java
+++ b/src/main/java/dewstage/scale/Hollows.java
@@ -190,9 +190,9 @@
         public void inForce(ListKind kind, long version, List<Member> members) {
             long now = System.nanoTime();
             if (sends != null) {
-                sends.heard(members);
+                sends.listReceived(members);
             }
-            expected.forEach(a -> a.heard(number, version, now));
+            expected.forEach(a -> a.received(number, version, now));
         }
 
         @Override
--- a/src/main/java/dewstage/scale/Sayings.java
+++ b/src/main/java/dewstage/scale/LoggedLines.java
@@ -11,19 +11,19 @@
  * What the hollow proxies say on standard error, counted and not shown: hundreds of them would bury all else.
  * It has the whole process's standard error until it is closed.
  */
-final class Sayings implements AutoCloseable {
+final class LoggedLines implements AutoCloseable {
     /** The most frequent so many are told. */
-    private static final int TOLD = 20;
+    private static final int SHOWN = 20;
 
     private final PrintStream before = System.err;
     private final Map<String, Integer> counts = new ConcurrentHashMap<>();
 
-    Sayings() {
+    LoggedLines() {
         System.setErr(new PrintStream(new Lines(), true, StandardCharsets.UTF_8));
     }
 
     /** A line, and before it whose it is; each line begins with its time, which does not count. */
-    void heard(String whose, String line) {
+    void count(String whose, String line) {
         counts.merge(whose + line.replaceFirst("^[0-9]+ ", ""), 1, Integer::sum);
     }
 
@@ -32,7 +32,7 @@
         if (!counts.isEmpty()) {
             Table table = report.table("what the proxies said, the most frequent first", "times", "line");
             counts.entrySet().stream().sorted(Map.Entry.comparingByValue(Comparator.reverseOrder()))
-                    .limit(TOLD).forEach(e -> table.row(e.getValue(), e.getKey()));
+                    .limit(SHOWN).forEach(e -> table.row(e.getValue(), e.getKey()));
         }
     }
 
@@ -48,7 +48,7 @@
         @Override
         public void write(int b) {
             if (b == '\n') {
-                heard("", line.toString());
+                count("", line.toString());
                 line.setLength(0);
             } else {
                 line.append((char) (b & 255));
--- a/src/main/java/dewstage/scale/ModuleExperiment.java
+++ b/src/main/java/dewstage/scale/ModuleExperiment.java
@@ -75,7 +75,7 @@
                     }
                     Collections.reverse(builds); // none is always the first
                 }
-                run.progress().say("repetition " + (i + 1) + " of " + options.repeat);
+                run.progress().log("repetition " + (i + 1) + " of " + options.repeat);
             }
         }
         report(run.report());
--- a/src/main/java/dewstage/scale/Progress.java
+++ b/src/main/java/dewstage/scale/Progress.java
@@ -12,7 +12,7 @@
         this.to = to;
     }
 
-    void say(String line) {
+    void log(String line) {
         to.printf(Locale.ROOT, "%7.1f s  %s%n", (System.nanoTime() - start) / 1e9, line);
         to.flush();
     }
--- a/src/main/java/dewstage/scale/RealExperiment.java
+++ b/src/main/java/dewstage/scale/RealExperiment.java
@@ -75,23 +75,23 @@
         RealSamples samples = new RealSamples();
         boolean whole = true;
         Path folder = Files.createTempDirectory("real");
-        try (Sayings sayings = new Sayings()) {
+        try (LoggedLines loggedLines = new LoggedLines()) {
             for (int round = 1; round <= options.repeat; round++) {
                 for (int entries : options.entries) {
                     for (Build build : builds) {
                         whole &= !run.deadline().over();
                         if (whole) {
-                            run.progress().say("round " + round + ": " + build.name() + ", " + entries);
+                            run.progress().log("round " + round + ": " + build.name() + ", " + entries);
                             Path log = folder.resolve(build.name() + '-' + entries + '-' + round + ".log");
                             samples.add(measure(run, build, entries, round, log));
                             for (String line : Files.readAllLines(log)) {
-                                sayings.heard(build.name() + ", " + entries + " entries: ", line);
+                                loggedLines.count(build.name() + ", " + entries + " entries: ", line);
                             }
                         }
                     }
                 }
             }
-            sayings.report(run.report());
+            loggedLines.report(run.report());
         } finally {
             try (Stream<Path> files = Files.walk(folder)) {
                 for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
--- a/src/main/java/dewstage/scale/RequestExperiment.java
+++ b/src/main/java/dewstage/scale/RequestExperiment.java
@@ -145,7 +145,7 @@
                     run.report().remark(build.name() + " before " + side.entries()
                             + " entries is NOT READY after " + readySeconds + " s: not under load");
                 }
-                run.progress().say(build.name() + " before " + side.entries() + " entries: "
+                run.progress().log(build.name() + " before " + side.entries() + " entries: "
                         + (ready ? "ready" : "not ready"));
             }
         }
@@ -188,7 +188,7 @@
                 table.row(i, "direct", null, reference.sent(), reference.notServed(), t.ms(50), t.ms(99),
                         t.ms(99.9), null, null, null, null, null, null);
             }
-            run.progress().say("repetition " + i + " of " + options.repeat);
+            run.progress().log("repetition " + i + " of " + options.repeat);
         }
         return true;
     }
--- a/src/main/java/dewstage/scale/SendCounts.java
+++ b/src/main/java/dewstage/scale/SendCounts.java
@@ -25,7 +25,7 @@
         private long warm;
 
         /** Proxies have heard of these servers; those with no time of a start are not counted one by one. */
-        void heard(List<Member> members) {
+        void listReceived(List<Member> members) {
             members.stream().filter(m -> m.bootNs() > 0)
                     .forEach(m -> cold.computeIfAbsent(m.id(), id -> new ArrayList<>()));
         }
--- a/src/test/java/dewstage/proxy/BackendsTest.java
+++ b/src/test/java/dewstage/proxy/BackendsTest.java
@@ -313,7 +313,7 @@
             String answer = client.read();
             assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
             assertTrue(answer.contains("Retry-After: 1.200000\r\n"), answer);
-            assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("outcome")));
+            assertTrue(setup.events.stream().noneMatch(t -> t.what().equals("outcome")));
         }
     }
 
@@ -388,13 +388,13 @@
     void ofBackendsThatAreListedAndNotInUseNothingIsKept() throws Exception {
         Backends backends = backends(1024);
         List<Discovery.Listed> list = IntStream.range(0, 1000).mapToObj(n -> listed(n, State.READY)).toList();
-        setup.act(() -> backends.learn(new Discovery.News(ListKind.FULL, 1, list)));
+        setup.act(() -> backends.apply(new Discovery.ListUpdate(ListKind.FULL, 1, list)));
         assertEquals(0, inUse(backends));
         setup.clock.stop();
         List<Peer.Wire> wires = served(backends, 3, 4, 5);
         assertEquals(3, inUse(backends));
         List<Discovery.Listed> change = List.of(listed(4, State.GONE));
-        setup.act(() -> backends.learn(new Discovery.News(ListKind.DELTA, 2, change)));
+        setup.act(() -> backends.apply(new Discovery.ListUpdate(ListKind.DELTA, 2, change)));
         assertTrue(wires.get(1).ended(), "idle at one that is gone");
         assertEquals(2, inUse(backends));
         setup.clock.pass(15_000_000_000L); // the keep-alive time: all idle ones are closed
@@ -420,7 +420,7 @@
     void oneThatHasDrainedForLongIsSentNothing() throws Exception {
         Member drains = new Member(server, 0, State.DRAINING, 0, 3, 0, 1);
         setup.clock.stop();
-        setup.act(() -> setup.proxy.news(new Discovery.News(ListKind.DELTA, 42,
+        setup.act(() -> setup.proxy.onListUpdate(new Discovery.ListUpdate(ListKind.DELTA, 42,
                 List.of(new Discovery.Listed(drains, backend.address())))));
         setup.clock.pass(500_000_001L); // the grace, and more
         try (Peer.Wire client = setup.client()) {
--- a/src/test/java/dewstage/proxy/DiscoveryTest.java
+++ b/src/test/java/dewstage/proxy/DiscoveryTest.java
@@ -174,7 +174,7 @@
             watch = next;
             pauseMs *= 2;
         }
-        assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("members")));
+        assertTrue(setup.events.stream().noneMatch(t -> t.what().equals("members")));
     }
 
     @Test
@@ -209,7 +209,7 @@
         }
         Peer.Wire watch = discovery.accept();
         assertTrue(watch.read().contains("index=41 "));
-        assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("members")));
+        assertTrue(setup.events.stream().noneMatch(t -> t.what().equals("members")));
     }
 
     @Test
@@ -298,7 +298,7 @@
             Request r = setup.request();
             setup.act(() -> {
                 setup.actions.send(r.ticket(), drains.id(), 0);
-                setup.proxy.news(new Discovery.News(ListKind.DELTA, 42,
+                setup.proxy.onListUpdate(new Discovery.ListUpdate(ListKind.DELTA, 42,
                         List.of(new Discovery.Listed(drains, backend.address()))));
             });
             assertEquals(Status.MOOT, setup.outcome().status());
--- a/src/test/java/dewstage/proxy/FrontendTest.java
+++ b/src/test/java/dewstage/proxy/FrontendTest.java
@@ -49,7 +49,7 @@
             client.write(request.replace("|", "\r\n") + "\r\n");
             String answer = client.read();
             assertTrue(answer.startsWith("HTTP/1.1 " + status + " "), answer);
-            assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("request")));
+            assertTrue(setup.events.stream().noneMatch(t -> t.what().equals("request")));
         }
     }
 
@@ -72,7 +72,7 @@
             String answer = client.read();
             assertTrue(answer.startsWith("HTTP/1.1 " + status + " "), answer);
             assertTrue(client.ended());
-            assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("request")));
+            assertTrue(setup.events.stream().noneMatch(t -> t.what().equals("request")));
         }
     }
 
@@ -108,7 +108,7 @@
             assertTrue(client.read().startsWith("HTTP/1.1 503 "));
             other.write(request);
             assertTrue(other.read().startsWith("HTTP/1.1 409 "));
-            assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("request")));
+            assertTrue(setup.events.stream().noneMatch(t -> t.what().equals("request")));
         }
     }
 
@@ -134,7 +134,7 @@
             client.write(Setup.get().repeat(Client.MOST_PIPELINED + 1));
             assertTrue(client.read().startsWith("HTTP/1.1 429 "));
             assertTrue(client.ended());
-            assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("request")));
+            assertTrue(setup.events.stream().noneMatch(t -> t.what().equals("request")));
         }
     }
 
@@ -161,7 +161,7 @@
                     + "Content-Length: 3\r\n\r\nabc");
             Request r = setup.request();
             assertEquals(1, r.profile());
-            assertEquals(Asked.key("sid=7f3a9c21e0b4d655"), r.key());
+            assertEquals(RequestTerms.key("sid=7f3a9c21e0b4d655"), r.key());
             assertNotEquals(0, r.key());
             assertEquals(300_000, r.hintNs());
             assertTrue(r.repeat());
@@ -312,7 +312,7 @@
             for (Peer.Wire w : List.of(asking, idle)) {
                 w.write(Setup.get()).write(Setup.get()); // to a reset connection the second one would fail
             }
-            assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("request")));
+            assertTrue(setup.events.stream().noneMatch(t -> t.what().equals("request")));
         }
         drained.get(20, TimeUnit.SECONDS);
     }
@@ -397,7 +397,7 @@
     /** An answer that is awaited up to the last moment is lost if the next stall begins before that. */
     @ParameterizedTest
     @CsvSource({"30, 0.8", "0.4, 0.1"})
-    void afterAStallTheModuleHasToEndARequestBeforeTheNextOneMayHideItsDeadline(double timeoutS, double marginS)
+    void afterAStallTheModuleHasToEndARequestBeforeItsTime(double timeoutS, double marginS)
             throws Exception {
         try (Peer.Wire client = setup.client()) {
             setup.clock.stop();
--- a/src/test/java/dewstage/proxy/GoneClientTest.java
+++ b/src/test/java/dewstage/proxy/GoneClientTest.java
@@ -241,7 +241,7 @@
             Request second = setup.request();
             setup.act(() -> setup.actions.fail(second.ticket()));
             assertTrue(client.read().startsWith("HTTP/1.1 502 "));
-            assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("request")));
+            assertTrue(setup.events.stream().noneMatch(t -> t.what().equals("request")));
         }
     }
 }
--- a/src/test/java/dewstage/proxy/MembershipTest.java
+++ b/src/test/java/dewstage/proxy/MembershipTest.java
@@ -36,28 +36,28 @@
     }
 
     /** What comes of a text in pieces of so many bytes. */
-    private List<Discovery.News> read(String text, int piece) throws IOException {
+    private List<Discovery.ListUpdate> read(String text, int piece) throws IOException {
         ListReader lists = new ListReader(membership, config);
-        List<Discovery.News> news = new ArrayList<>();
+        List<Discovery.ListUpdate> listUpdate = new ArrayList<>();
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         try (Json.Stream stream = new Json.Stream()) {
             for (int i = 0; i < bytes.length; i += piece) {
                 byte[] part = Arrays.copyOfRange(bytes, i, Math.min(bytes.length, i + piece));
                 stream.feed(part, (parser, token) -> {
-                    Discovery.News n = lists.take(parser, token);
+                    Discovery.ListUpdate n = lists.take(parser, token);
                     if (n != null) {
-                        news.add(n);
+                        listUpdate.add(n);
                     }
                 });
             }
         }
-        return news;
+        return listUpdate;
     }
 
-    private Discovery.News one(String text) throws IOException {
-        List<Discovery.News> news = read(text, text.length());
-        assertEquals(1, news.size());
-        return news.get(0);
+    private Discovery.ListUpdate one(String text) throws IOException {
+        List<Discovery.ListUpdate> listUpdate = read(text, text.length());
+        assertEquals(1, listUpdate.size());
+        return listUpdate.get(0);
     }
 
     private static String entry(String id, int cell, String lifecycle, int weight) {
@@ -121,10 +121,10 @@
             }
             String text = list(whole, random.nextBoolean(), String.join(",", entries));
             int end = cut ? random.nextInt(text.length()) : text.length();
-            List<Discovery.News> news = read(text.substring(0, end), 1 + random.nextInt(90));
-            assertEquals(cut ? 0 : 1, news.size());
+            List<Discovery.ListUpdate> listUpdate = read(text.substring(0, end), 1 + random.nextInt(90));
+            assertEquals(cut ? 0 : 1, listUpdate.size());
             listed = cut ? listed : next;
-            for (Discovery.News n : news) {
+            for (Discovery.ListUpdate n : listUpdate) {
                 kinds.add(n.kind());
                 for (Discovery.Listed l : n.list()) {
                     Discovery.Listed before = told.get(l.member().id());
@@ -150,19 +150,19 @@
     @Test
     void twoIdsOfOneHashAreTwoBackendsAlsoOnceTheFirstHasLeft() throws Exception {
         List<String> ids = ofOneNumber();
-        Discovery.News both = one(list(true, false, entry(ids.get(0), 1, "in_service", 1) + ","
+        Discovery.ListUpdate both = one(list(true, false, entry(ids.get(0), 1, "in_service", 1) + ","
                 + entry(ids.get(1), 2, "in_service", 1)));
         int second = both.list().get(1).member().id();
         assertNotEquals(both.list().get(0).member().id(), second);
         one(list(false, false, entry(ids.get(0), 1, "terminated", 1)));
-        Discovery.News moved = one(list(false, false, entry(ids.get(1), 2, "in_service", 2)));
+        Discovery.ListUpdate moved = one(list(false, false, entry(ids.get(1), 2, "in_service", 2)));
         assertEquals(second, moved.list().get(0).member().id());
         assertEquals(1, membership.size());
     }
 
     @Test
     void anEntryIsHeldOnceAndIsTheOneThatTheModuleGets() throws Exception {
-        Discovery.News first = one(list(true, true, entries(0, 3)));
+        Discovery.ListUpdate first = one(list(true, true, entries(0, 3)));
         Member m = first.members().get(1);
         assertEquals(new Member(m.id(), 1, State.READY, 5_000_000, 1, 1, 1), m);
         assertEquals("/10.0.0.1:9001", first.list().get(1).address().toString());
--- a/src/test/java/dewstage/proxy/ServeTest.java
+++ b/src/test/java/dewstage/proxy/ServeTest.java
@@ -194,7 +194,7 @@
             setup.act(() -> reload(setup, elsewhere, backend));
             assertTrue(elsewhere.accept().read().contains("index=41 "));
             assertTrue(discovery.quiet());
-            assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("members")));
+            assertTrue(setup.events.stream().noneMatch(t -> t.what().equals("members")));
         }
     }
 
--- a/src/test/java/dewstage/proxy/Setup.java
+++ b/src/test/java/dewstage/proxy/Setup.java
@@ -58,10 +58,10 @@
     }
 
     /** What the module was told. */
-    record Told(String what, Object event) { }
+    record ModuleEvent(String what, Object event) { }
 
     final EventLoop loop = Proxy.newLoop();
-    final BlockingQueue<Told> told = new LinkedBlockingQueue<>();
+    final BlockingQueue<ModuleEvent> events = new LinkedBlockingQueue<>();
     final Steps clock = new Steps();
     Proxy proxy;
     Balancer.Actions actions;
@@ -99,11 +99,15 @@
         loop.submit(action).get(20, TimeUnit.SECONDS);
     }
 
+    private ModuleEvent awaitEvent() throws InterruptedException {
+        return events.poll(20, TimeUnit.SECONDS);
+    }
+
     /** Waits for the next event of a kind; others are passed over. */
     <T> T next(String what, Class<T> type) throws InterruptedException {
-        for (Told t = told.poll(20, TimeUnit.SECONDS); t != null; t = told.poll(20, TimeUnit.SECONDS)) {
-            if (t.what().equals(what)) {
-                return type.cast(t.event());
+        for (ModuleEvent e = awaitEvent(); e != null; e = awaitEvent()) {
+            if (e.what().equals(what)) {
+                return type.cast(e.event());
             }
         }
         throw new AssertionError("the module was not told: " + what);
@@ -142,7 +146,7 @@
             if (nested) {
                 throw new AssertionError("the module was called from inside its own action");
             }
-            told.add(new Told(what, event));
+            events.add(new ModuleEvent(what, event));
         }
 
         @Override
--- a/src/test/java/dewstage/proxy/ToldInTimeTest.java
+++ b/src/test/java/dewstage/proxy/ToldInTimeTest.java
@@ -179,7 +179,7 @@
             Config config = Config.parse(root, Map.of());
             Discovery watching = new Discovery(loop, config, new Discovery.Listener() {
                 @Override
-                public void news(Discovery.News news) { }
+                public void onListUpdate(Discovery.ListUpdate listUpdate) { }
 
                 @Override
                 public void failed() { }
--- a/src/test/java/dewstage/scale/SayingsTest.java
+++ b/src/test/java/dewstage/scale/LoggedLinesTest.java
@@ -9,16 +9,16 @@
 import org.junit.jupiter.api.Test;
 
 /** What many proxies say is told once, with how often it was said. */
-class SayingsTest {
+class LoggedLinesTest {
     @Test
     void aLineIsCountedWhateverItsTimeAndTheErrorStreamComesBack() throws Exception {
         PrintStream before = System.err;
         Report report = new Report("start");
-        try (Sayings sayings = new Sayings()) {
+        try (LoggedLines loggedLines = new LoggedLines()) {
             System.err.println("1700000000001 discovery is silent");
             System.err.println("1700000000002 ready");
             System.err.println("1700000000003 discovery is silent");
-            sayings.report(report);
+            loggedLines.report(report);
         }
         assertSame(before, System.err);
         JsonNode rows = new ObjectMapper().readTree(report.json()).at("/tables/0/rows");
