--- a/src/test/java/dewstage/proxy/BackendsTest.java
+++ b/src/test/java/dewstage/proxy/BackendsTest.java
@@ -162,15 +162,21 @@
         }
     }
 
+    /** Has one request served on a new connection to the backend, and returns that connection. */
+    private Peer.Wire serveOne(Peer.Wire client) throws Exception {
+        sent(client);
+        Peer.Wire connection = backend.accept();
+        connection.read();
+        connection.write(OK);
+        assertTrue(client.read().endsWith("\r\n\r\nbody"));
+        return connection;
+    }
+
     @Test
     void aSecondAnswerThatComesLateIsNeverTheAnswerToTheNextRequest() throws Exception {
         try (Peer.Wire client = setup.client()) {
             setup.clock.stop();
-            sent(client);
-            Peer.Wire first = backend.accept();
-            first.read();
-            first.write(OK);
-            assertTrue(client.read().endsWith("\r\n\r\nbody"));
+            Peer.Wire first = serveOne(client);
             client.write(Setup.get());
             Request next = setup.request();
             setup.act(() -> {
@@ -194,11 +200,7 @@
     void anAttemptCalledOffWhileItsConnectionRestsIsNeverWritten() throws Exception {
         try (Peer.Wire client = setup.client()) {
             setup.clock.stop();
-            sent(client);
-            Peer.Wire first = backend.accept();
-            first.read();
-            first.write(OK);
-            assertTrue(client.read().endsWith("\r\n\r\nbody"));
+            Peer.Wire first = serveOne(client);
             assertEquals(Status.OK, setup.outcome().status());
             client.write(Setup.get());
             Request next = setup.request();
