Reckon with a stall only for what it lasts beyond the half second that an answer may be late

So a stall of less than that needs no margin, and a longer one what it lasts beyond it. Test: 0.8 s of stall leaves 29.69 s of 30 s and 0.3 s of 0.4 s; 0.4 s of stall leaves 29.99 s.

--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -38,11 +38,13 @@
     /**
      * A timeout counts from the client's send and is kept when the answer has reached it. The module is told
      * of so much less, and if it has not ended the request in half of that, the backstop does. Where the
-     * loop stood still lately the margin is as long as that stall, within a share of the timeout: what waits
-     * for an answer up to its last moment is lost in the next stall. The price is the rare answer that comes
-     * so late.
+     * loop stood still lately the margin covers what such a stall lasts beyond LATE_NS, within a share of the
+     * timeout: what waits for an answer up to its last moment is lost in the next one. The price is the rare
+     * answer that comes so late.
      */
     private static final long MARGIN_NS = 10_000_000L;
+    /** An answer that is later than this counts as lost, by the rules; before that it only earns nothing. */
+    private static final long LATE_NS = 500_000_000L;
     private static final double MARGIN_MOST = 0.25;
     /** With the list that it was started with a proxy serves if discovery says nothing for so long. */
     static final long LIST_WAIT_MS = 3000;
@@ -346,7 +348,8 @@
             tickets++;
         } while (tickets == 0 || exchanges.containsKey(tickets));
         long now = clock.now();
-        long margin = (long) Math.min(terms.timeoutNs() * MARGIN_MOST, Math.max(MARGIN_NS, lag.longest(now)));
+        long stall = Math.max(0, lag.longest(now) - LATE_NS);
+        long margin = (long) Math.min(terms.timeoutNs() * MARGIN_MOST, MARGIN_NS + stall);
         long timeUp = at + terms.timeoutNs();
         Exchange x = new Exchange(tickets, client, message, timeUp - margin, timeUp);
         exchanges.put(x.ticket, x);
