--- a/src/main/java/dewstage/benchlink/ConfigParser.java
+++ b/src/main/java/dewstage/benchlink/ConfigParser.java
@@ -19,7 +19,7 @@
     }
 
     /** The settings, with the names of the report columns beside them. */
-    public record Parsed(Settings settings, String[] columns) { }
+    public record Parsed(Settings settings, String[] columns) {}
 
     /** Parses path=value lines. */
     static Parsed parse(String text) {
@@ -49,21 +49,39 @@
 
     private Profile profile(String p) {
         Effect effect = choice(p + "effect", Effect.class, null);
-        return new Profile(effect, choice(p + "dedup_scope", Scope.class, Scope.ALL),
-                effect == Effect.DEDUPLICATED ? integer(p + "window_ns") : 0, integer(p + "promise_ns"),
-                integer(p + "give_up_ns"), number(p + "worth"), number(p + "late_share", 0),
-                flag(p + "streamed"), flag(p + "sequential"));
+        return new Profile(
+                effect,
+                choice(p + "dedup_scope", Scope.class, Scope.ALL),
+                effect == Effect.DEDUPLICATED ? integer(p + "window_ns") : 0,
+                integer(p + "promise_ns"),
+                integer(p + "give_up_ns"),
+                number(p + "worth"),
+                number(p + "late_share", 0),
+                flag(p + "streamed"),
+                flag(p + "sequential"));
     }
 
     private Settings settings(List<Profile> profiles) {
         boolean ask = "on_request".equals(values.get("discovery"));
-        return new Settings((int) integer("me"), (int) integer("balancers"), (int) integer("zone"), profiles,
-                ask, flag("limits.cancelling"), (int) integer("limits.max_attempts"),
+        return new Settings(
+                (int) integer("me"),
+                (int) integer("balancers"),
+                (int) integer("zone"),
+                profiles,
+                ask,
+                flag("limits.cancelling"),
+                (int) integer("limits.max_attempts"),
                 flag("limits.retry_after") ? (long) number("limits.max_retry_after_ns", 0) : 0,
-                number("rules.start_capacity"), integer("rules.cold_ns"), number("rules.tip_multiple"),
-                integer("rules.fall_ns"), ask ? integer("rules.ask_within_ns") : 0, integer("step_ns"),
-                number("prices.cross_zone", 0), flag("rules.busy_is_no_proof"),
-                integer("rules.turn_gap_ns", 0), integer("limits.connect_timeout_ns", 0));
+                number("rules.start_capacity"),
+                integer("rules.cold_ns"),
+                number("rules.tip_multiple"),
+                integer("rules.fall_ns"),
+                ask ? integer("rules.ask_within_ns") : 0,
+                integer("step_ns"),
+                number("prices.cross_zone", 0),
+                flag("rules.busy_is_no_proof"),
+                integer("rules.turn_gap_ns", 0),
+                integer("limits.connect_timeout_ns", 0));
     }
 
     private String needed(String key) {
--- a/src/main/java/dewstage/benchlink/Host.java
+++ b/src/main/java/dewstage/benchlink/Host.java
@@ -26,10 +26,10 @@
     private static final ListKind[] LIST_KINDS = ListKind.values();
 
     /** A running instance and which report column holds what (see {@link #REPORT_NAMES}). */
-    private record Instance(Balancer balancer, int[] columns, int profiles) { }
+    private record Instance(Balancer balancer, int[] columns, int profiles) {}
 
-    private static final List<String> REPORT_NAMES = List.of("outstanding", "backlog", "utilization",
-            "recent_ms", "throughput", "errors_per_s");
+    private static final List<String> REPORT_NAMES =
+            List.of("outstanding", "backlog", "utilization", "recent_ms", "throughput", "errors_per_s");
 
     private final Balancer.Factory factory;
     private final Map<Integer, Instance> instances = new HashMap<>();
@@ -65,13 +65,17 @@
             running(instances.remove(proxy), code, proxy);
             return;
         }
-        ConfigParser.Parsed start = code == 1
-                ? ConfigParser.parse(new String(b.bytes(at + 13), StandardCharsets.UTF_8)) : null;
+        ConfigParser.Parsed start =
+                code == 1 ? ConfigParser.parse(new String(b.bytes(at + 13), StandardCharsets.UTF_8)) : null;
         try {
             if (start != null) {
                 int[] columns = columns(start.columns());
-                instances.put(proxy, new Instance(factory.create(start.settings(), b.i64(at + 5), b.clock,
-                        reply.forInstance(proxy)), columns, start.settings().profiles().size()));
+                instances.put(
+                        proxy,
+                        new Instance(
+                                factory.create(start.settings(), b.i64(at + 5), b.clock, reply.forInstance(proxy)),
+                                columns,
+                                start.settings().profiles().size()));
                 return;
             }
             deliver(b, at, code, running(instances.get(proxy), code, proxy));
@@ -107,16 +111,35 @@
                 if (b.u8(at + 9) >= to.profiles()) {
                     throw new WireException("a request of class " + b.u8(at + 9) + " of " + to.profiles());
                 }
-                m.onRequest(now, new Request(b.i32(at + 5), b.u8(at + 9), b.u16(at + 10), b.i64(at + 12),
-                        b.i64(at + 20), (flags & 1) != 0 ? b.i64(at + 28) : 0, (flags & 2) != 0));
+                m.onRequest(
+                        now,
+                        new Request(
+                                b.i32(at + 5),
+                                b.u8(at + 9),
+                                b.u16(at + 10),
+                                b.i64(at + 12),
+                                b.i64(at + 20),
+                                (flags & 1) != 0 ? b.i64(at + 28) : 0,
+                                (flags & 2) != 0));
             }
             case 4 -> m.onStreamBegun(now, b.i32(at + 5), b.u16(at + 9), b.i32(at + 11), b.i64(at + 15));
-            case 5 -> m.onOutcome(now, new Outcome(b.i32(at + 5), b.u16(at + 9), b.i32(at + 11),
-                    pick(STATUSES, b.u16(at + 15), "outcome"), b.i64(at + 17), b.u8(at + 25) != 0,
-                    report(b, at + 26, to.columns())));
+            case 5 -> m.onOutcome(
+                    now,
+                    new Outcome(
+                            b.i32(at + 5),
+                            b.u16(at + 9),
+                            b.i32(at + 11),
+                            pick(STATUSES, b.u16(at + 15), "outcome"),
+                            b.i64(at + 17),
+                            b.u8(at + 25) != 0,
+                            report(b, at + 26, to.columns())));
             case 6 -> m.onWithdrawn(now, b.i32(at + 5));
             case 7 -> m.onTimer(now, b.i64(at + 5));
-            case 8 -> m.onProbe(now, b.i32(at + 5), pick(STATUSES, b.u16(at + 9), "outcome"), b.i64(at + 11),
+            case 8 -> m.onProbe(
+                    now,
+                    b.i32(at + 5),
+                    pick(STATUSES, b.u16(at + 9), "outcome"),
+                    b.i64(at + 11),
                     report(b, at + 19, to.columns()));
             case 9 -> m.onPeer(now, b.i32(at + 5), b.bytes(at + 9));
             default -> throw new WireException("unknown event code " + code);
@@ -129,8 +152,14 @@
         List<Member> list = new ArrayList<>(n);
         for (int i = 0; i < n; i++) {
             int e = from + i * ENTRY;
-            list.add(new Member(b.i32(e), b.u16(e + 4), pick(STATES, b.u8(e + 6), "server state"),
-                    b.i64(e + 7), b.u16(e + 15), b.u8(e + 17), b.f32(e + 18)));
+            list.add(new Member(
+                    b.i32(e),
+                    b.u16(e + 4),
+                    pick(STATES, b.u8(e + 6), "server state"),
+                    b.i64(e + 7),
+                    b.u16(e + 15),
+                    b.u8(e + 17),
+                    b.f32(e + 18)));
         }
         return List.copyOf(list);
     }
@@ -149,9 +178,15 @@
         if (n > 4) {
             throw new WireException("a load report of " + n + " values");
         }
-        return n == 0 ? null : new Report(value(b, at, n, columns[0]), value(b, at, n, columns[1]),
-                value(b, at, n, columns[2]), value(b, at, n, columns[3]), value(b, at, n, columns[4]),
-                value(b, at, n, columns[5]));
+        return n == 0
+                ? null
+                : new Report(
+                        value(b, at, n, columns[0]),
+                        value(b, at, n, columns[1]),
+                        value(b, at, n, columns[2]),
+                        value(b, at, n, columns[3]),
+                        value(b, at, n, columns[4]),
+                        value(b, at, n, columns[5]));
     }
 
     private static double value(Batch b, int at, int n, int column) {
--- a/src/main/java/dewstage/benchlink/Reply.java
+++ b/src/main/java/dewstage/benchlink/Reply.java
@@ -84,7 +84,8 @@
     private ByteBuffer begin(int code, int proxy) {
         if (records.remaining() < RECORD) {
             records = ByteBuffer.wrap(Arrays.copyOf(records.array(), records.capacity() * 2))
-                    .order(ByteOrder.LITTLE_ENDIAN).position(records.position());
+                    .order(ByteOrder.LITTLE_ENDIAN)
+                    .position(records.position());
         }
         return records.put((byte) code).putInt(proxy);
     }
--- a/src/test/java/dewstage/benchlink/HostTest.java
+++ b/src/test/java/dewstage/benchlink/HostTest.java
@@ -17,7 +17,8 @@
 
 /** Frames in both directions; the bytes of the records are those of the wire document. */
 class HostTest {
-    private static final String CONFIG = """
+    private static final String CONFIG =
+            """
             balancers=3
             discovery=pushed
             limits.max_attempts=4
@@ -46,8 +47,8 @@
             zone=0
             """;
     private static final String CLOCK = "90bf68f501000000";
-    private static final String INGRESS = "0303000000c4913a5d000000640ad2557c3bf091001c4e0e00000000"
-            + "001bb70000000000" + "0100" + "00".repeat(10);
+    private static final String INGRESS =
+            "0303000000c4913a5d000000640ad2557c3bf091001c4e0e00000000" + "001bb70000000000" + "0100" + "00".repeat(10);
     private static final String ELAPSED = "07030000004d00000000000000" + "00".repeat(35);
     private static final String DONE = "0503000000c4913a5d0000074a12030100a0491a0100000000010200004040"
             + "52b81e3f0000000000000000" + "00".repeat(5);
@@ -121,23 +122,23 @@
     }
 
     private static String start(String config) {
-        return frame(hex(config), "0103000000" + "2a00000000000000" + u32(0) + u32(config.length())
-                + "00".repeat(27));
+        return frame(hex(config), "0103000000" + "2a00000000000000" + u32(0) + u32(config.length()) + "00".repeat(27));
     }
 
     private String run(Runnable onRequest, String... frames) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         new Host((s, seed, now, actions) -> {
-            settings = s;
-            sink = actions;
-            heard.add("start " + seed);
-            return new Recorder(onRequest);
-        }).serve(new ByteArrayInputStream(HexFormat.of().parseHex(String.join("", frames))), out);
+                    settings = s;
+                    sink = actions;
+                    heard.add("start " + seed);
+                    return new Recorder(onRequest);
+                })
+                .serve(new ByteArrayInputStream(HexFormat.of().parseHex(String.join("", frames))), out);
         return HexFormat.of().formatHex(out.toByteArray());
     }
 
     private String run(String... frames) throws IOException {
-        return run(() -> { }, frames);
+        return run(() -> {}, frames);
     }
 
     @Test
@@ -147,71 +148,92 @@
 
     @Test
     void theDocumentsReplyIsWrittenToTheByte() throws IOException {
-        String reply = run(() -> {
-            sink.send(0x5d3a91c4, 0x03124a07, 80_000_000L);
-            sink.timer(0x213362490L, 0x4d);
-            sink.log("two servers known");
-        }, start(CONFIG), frame("", INGRESS));
-        assertEquals("0000000000000000" + "0300000059000000"
-                + "4103000000c4913a5d074a120300b4c40400000000000000"
-                + "45030000009024361302000000" + "4d00000000000000000000"
-                + "49030000000000000011000000" + "00".repeat(11)
-                + "74776f2073657276657273206b6e6f776e", reply);
+        String reply = run(
+                () -> {
+                    sink.send(0x5d3a91c4, 0x03124a07, 80_000_000L);
+                    sink.timer(0x213362490L, 0x4d);
+                    sink.log("two servers known");
+                },
+                start(CONFIG),
+                frame("", INGRESS));
+        assertEquals(
+                "0000000000000000" + "0300000059000000"
+                        + "4103000000c4913a5d074a120300b4c40400000000000000"
+                        + "45030000009024361302000000" + "4d00000000000000000000"
+                        + "49030000000000000011000000" + "00".repeat(11)
+                        + "74776f2073657276657273206b6e6f776e",
+                reply);
     }
 
     @Test
     void everyOtherActionHasItsCodeAndFields() throws IOException {
-        String reply = run(() -> {
-            sink.refuse(0x0e6f2b19, 0x0ee6b280L);
-            sink.fail(0x0e6f2b19);
-            sink.cancel(0x5d3a91c4, 2);
-            sink.probe(0x2c9011f2);
-            sink.closeIdle(0x2c9011f2);
-            sink.tell(-1, "hi 7".getBytes(StandardCharsets.UTF_8));
-            sink.subscribe(true);
-            sink.subscribe(false);
-            sink.reload();
-        }, start(CONFIG), frame("", INGRESS));
-        assertEquals("0000000000000000" + "09000000" + u32(9 * 24 + 4)
-                + "4203000000192b6f0e80b2e60e00000000" + "00".repeat(7)
-                + "4303000000192b6f0e" + "00".repeat(15)
-                + "4403000000c4913a5d0200" + "00".repeat(13)
-                + "4603000000f211902c" + "00".repeat(15)
-                + "4703000000f211902c" + "00".repeat(15)
-                + "4803000000ffffffff0000000004000000" + "00".repeat(7)
-                + "4b0300000001" + "00".repeat(18)
-                + "4b0300000000" + "00".repeat(18)
-                + "4c03000000" + "00".repeat(19)
-                + "68692037", reply);
+        String reply = run(
+                () -> {
+                    sink.refuse(0x0e6f2b19, 0x0ee6b280L);
+                    sink.fail(0x0e6f2b19);
+                    sink.cancel(0x5d3a91c4, 2);
+                    sink.probe(0x2c9011f2);
+                    sink.closeIdle(0x2c9011f2);
+                    sink.tell(-1, "hi 7".getBytes(StandardCharsets.UTF_8));
+                    sink.subscribe(true);
+                    sink.subscribe(false);
+                    sink.reload();
+                },
+                start(CONFIG),
+                frame("", INGRESS));
+        assertEquals(
+                "0000000000000000" + "09000000" + u32(9 * 24 + 4)
+                        + "4203000000192b6f0e80b2e60e00000000" + "00".repeat(7)
+                        + "4303000000192b6f0e" + "00".repeat(15)
+                        + "4403000000c4913a5d0200" + "00".repeat(13)
+                        + "4603000000f211902c" + "00".repeat(15)
+                        + "4703000000f211902c" + "00".repeat(15)
+                        + "4803000000ffffffff0000000004000000" + "00".repeat(7)
+                        + "4b0300000001" + "00".repeat(18)
+                        + "4b0300000000" + "00".repeat(18)
+                        + "4c03000000" + "00".repeat(19)
+                        + "68692037",
+                reply);
     }
 
     @Test
     void eventsAreReadFromTheDocumentsBytes() throws IOException {
-        String entries = "074a1203" + "0000" + "01" + "0000000000000000" + "0000" + "00" + "0000803f"
-                + "f211902c" + "0000" + "01" + "009d966b01000000" + "0000" + "01" + "0000c03f";
-        run(start(CONFIG),
-                frame(entries, "0b00000000000002000000" + "00".repeat(37),
+        String entries = "074a1203" + "0000" + "01" + "0000000000000000" + "0000" + "00" + "0000803f" + "f211902c"
+                + "0000" + "01" + "009d966b01000000" + "0000" + "01" + "0000c03f";
+        run(
+                start(CONFIG),
+                frame(
+                        entries,
+                        "0b00000000000002000000" + "00".repeat(37),
                         "02030000000229000000000000000000" + "00".repeat(32)),
                 frame("", INGRESS, ELAPSED, DONE, "0603000000192b6f0e" + "00".repeat(39)),
-                frame("68692037", "0403000000c4913a5d0000074a1203d0248d0000000000" + "00".repeat(25),
+                frame(
+                        "68692037",
+                        "0403000000c4913a5d0000074a1203d0248d0000000000" + "00".repeat(25),
                         "0803000000f211902c0100c05c1500000000000200004040" + "52b81e3f0000000000000000"
                                 + "00".repeat(12),
                         "0903000000020000000000000004000000" + "00".repeat(31)));
-        assertEquals(List.of("start 42",
-                "members CACHED 41 [Member[id=51530247, kind=0, state=READY, bootNs=0, cell=0, zone=0, "
-                        + "units=1.0], "
-                + "Member[id=747639282, kind=0, state=READY, bootNs=6100000000, cell=0, zone=1, units=1.5]]",
-                "request Request[ticket=1564119492, profile=0, tenant=0, key=-7930773538597631388, "
-                        + "leftNs=240000000, "
-                + "hintNs=12000000, repeat=false]",
-                "timer 8412250000 77",
-                "outcome Outcome[ticket=1564119492, attempt=0, server=51530247, status=OK, "
-                        + "elapsedNs=18500000, "
-                + "over=true, report=Report[inflight=NaN, queue=3.0, util=0.6200000047683716, recentMs=NaN, "
-                + "perSecond=NaN, errorsPerSecond=NaN]]",
-                "withdrawn 242166553", "begun 0 51530247 9250000",
+        assertEquals(
+                List.of(
+                        "start 42",
+                        "members CACHED 41 [Member[id=51530247, kind=0, state=READY, bootNs=0, cell=0, zone=0, "
+                                + "units=1.0], "
+                                + "Member[id=747639282, kind=0, state=READY, bootNs=6100000000, "
+                                + "cell=0, zone=1, units=1.5]]",
+                        "request Request[ticket=1564119492, profile=0, tenant=0, key=-7930773538597631388, "
+                                + "leftNs=240000000, "
+                                + "hintNs=12000000, repeat=false]",
+                        "timer 8412250000 77",
+                        "outcome Outcome[ticket=1564119492, attempt=0, server=51530247, status=OK, "
+                                + "elapsedNs=18500000, "
+                                + "over=true, report=Report[inflight=NaN, queue=3.0, "
+                                + "util=0.6200000047683716, recentMs=NaN, "
+                                + "perSecond=NaN, errorsPerSecond=NaN]]",
+                        "withdrawn 242166553",
+                        "begun 0 51530247 9250000",
                         "probe 747639282 OK 1400000 0.6200000047683716",
-                "peer 2 hi 7"), heard);
+                        "peer 2 hi 7"),
+                heard);
     }
 
     @Test
@@ -251,32 +273,38 @@
         refused("event 7 for instance 3, which is not running", frame("", ELAPSED));
         refused("event 10 for instance 3, which is not running", frame("", "0a03000000" + "00".repeat(43)));
         refused("a request of class 1 of 1", start(CONFIG), frame("", INGRESS.replace("5d00", "5d01")));
-        refused("list number 5 was never given", start(CONFIG),
+        refused(
+                "list number 5 was never given",
+                start(CONFIG),
                 frame("", "0203000000022900000000000000" + "0500" + "00".repeat(32)));
-        refused("a reference of 44 bytes at 0 leaves the tail of 4 bytes",
+        refused(
+                "a reference of 44 bytes at 0 leaves the tail of 4 bytes",
                 frame("00000000", "0b00000000000002000000" + "00".repeat(37)));
         refused("unknown outcome 9", start(CONFIG), frame("", DONE.replace("074a12030100", "074a12030900")));
-        refused("a load report of 7 values", start(CONFIG), frame("", DONE.replace("000102000040",
-                "000107000040")));
+        refused("a load report of 7 values", start(CONFIG), frame("", DONE.replace("000102000040", "000107000040")));
     }
 
     @Test
     void settingsThatAreNeededAreMissedByName() {
         refused("setting rules.cold_ns is missing", start(CONFIG.replace("rules.cold_ns=9000000000\n", "")));
         refused("setting me is not a whole number: first", start(CONFIG.replace("me=0", "me=first")));
-        refused("setting rules.tip_multiple is not a number: NaN",
+        refused(
+                "setting rules.tip_multiple is not a number: NaN",
                 start(CONFIG.replace("tip_multiple=4.0", "tip_multiple=NaN")));
-        refused("setting profiles.0.effect has an unknown value: twice",
+        refused(
+                "setting profiles.0.effect has an unknown value: twice",
                 start(CONFIG.replace("effect=deduplicated", "effect=twice")));
     }
 
     @Test
     void aModuleThatThrowsBecomesTheExceptionAction() throws IOException {
-        String reply = run(() -> {
-            throw new IllegalStateException("index out of range");
-        }, start(CONFIG), frame("", INGRESS));
-        String text = new String(HexFormat.of().parseHex(reply.substring(16 + 16 + 48)),
-                StandardCharsets.UTF_8);
+        String reply = run(
+                () -> {
+                    throw new IllegalStateException("index out of range");
+                },
+                start(CONFIG),
+                frame("", INGRESS));
+        String text = new String(HexFormat.of().parseHex(reply.substring(16 + 16 + 48)), StandardCharsets.UTF_8);
         assertEquals("4a", reply.substring(32, 34));
         assertTrue(text.contains("index out of range"), text);
     }
@@ -285,15 +313,24 @@
     void aListNumberIsTakenOverWithinABatch() throws IOException {
         String one = "074a1203" + "0000" + "01" + "0000000000000000" + "0000" + "00" + "0000803f";
         String topology = "0203000000002900000000000000" + "0000" + "00".repeat(32);
-        run(start(CONFIG), frame(one, "0b00000000000001000000" + "00".repeat(37), topology,
-                "0b00000000000000000000" + "00".repeat(37), topology));
+        run(
+                start(CONFIG),
+                frame(
+                        one,
+                        "0b00000000000001000000" + "00".repeat(37),
+                        topology,
+                        "0b00000000000000000000" + "00".repeat(37),
+                        topology));
         assertTrue(heard.get(1).contains("51530247"), heard.get(1));
         assertTrue(heard.get(2).endsWith("[]"), heard.get(2));
     }
 
     @Test
     void anInstanceThatWasKilledHearsNothing() {
-        refused("event 7 for instance 3, which is not running", start(CONFIG),
-                frame("", "0a03000000" + "00".repeat(43)), frame("", ELAPSED));
+        refused(
+                "event 7 for instance 3, which is not running",
+                start(CONFIG),
+                frame("", "0a03000000" + "00".repeat(43)),
+                frame("", ELAPSED));
     }
 }
