--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -30,7 +30,7 @@
     interface Taker {
         boolean ready();
 
-        void taken(Client client, Message message, Asked asked, long at);
+        void taken(Client client, Message message, RequestTerms terms, long at);
 
         /** The client has gone away before its answer. */
         void gone(Client client);
@@ -61,13 +61,14 @@
     /** Answers to what made no sense, by status: a line of the log for each would be one for the asking. */
     private final Map<Integer, Integer> rejected = new TreeMap<>();
     private final Crowding crowding = new Crowding();
-    private final Stalls stalls = new Stalls();
+    private final LoopLag lag;
     private Channel listener;
     private boolean draining;
 
-    Frontend(Config config, Clock clock, Sockets.Share sockets, Taker taker) {
+    Frontend(Config config, Clock clock, LoopLag lag, Sockets.Share sockets, Taker taker) {
         this.config = config;
         this.clock = clock;
+        this.lag = lag;
         this.sockets = sockets;
         this.taker = taker;
         sockets.whenFull(this::closeOneIdle);
@@ -88,7 +89,7 @@
                     }
                 }).bind(config.listen());
         listener = bound.channel();
-        loop.scheduleWithFixedDelay(() -> stalls.beat(clock.now()), 0, Stalls.BEAT_NS, TimeUnit.NANOSECONDS);
+        loop.scheduleWithFixedDelay(() -> lag.beat(clock.now()), 0, LoopLag.BEAT_NS, TimeUnit.NANOSECONDS);
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(ids::age, AGE_MS, AGE_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::sayRejected, COUNT_MS, COUNT_MS, TimeUnit.MILLISECONDS);
@@ -118,10 +119,10 @@
 
     private void sayRejected() {
         if (!rejected.isEmpty()) {
-            Proxy.say("requests that made no sense, by status: " + rejected);
+            Log.line("requests that made no sense, by status: " + rejected);
             rejected.clear();
         }
-        crowding.say();
+        crowding.report();
     }
 
     /** Answers from now on end their connections. */
@@ -176,8 +177,8 @@
     }
 
     @Override
-    public long came() {
-        return stalls.came(clock.now());
+    public long earliestArrival() {
+        return lag.earliestArrival(clock.now());
     }
 
     @Override
@@ -198,7 +199,7 @@
         }
         Profile p = config.settings().profiles().get(profile);
         HttpMethod method = p.effect() == Effect.IDEMPOTENT ? HttpMethod.GET : HttpMethod.POST;
-        String wrong = Asked.wrong(m, p);
+        String wrong = RequestTerms.wrong(m, p);
         if (!m.method().equals(method)) {
             client.answer(405, null, "this class takes " + method);
         } else if (wrong != null) {
@@ -208,7 +209,7 @@
         } else {
             client.take(m);
             crowding.requests++;
-            taker.taken(client, m, Asked.of(m, profile, config), at);
+            taker.taken(client, m, RequestTerms.of(m, profile, config), at);
         }
     }
 
