Take out what the last changes did twice: the longest stall, a zone looked up again for each entry

`LoopLag.beat` took the greater of the stall and of `longest`, which holds the stall already. `Fleet.list` looked up the zone of every listed entry, also of one that had not moved or had just been entered. ModuleSizeTest cut quotes off what its own group matches without them. Lists of updates bore the name of one.

--- a/src/main/java/dewstage/Fleet.java
+++ b/src/main/java/dewstage/Fleet.java
@@ -100,7 +100,7 @@
                 && m.cell() == s.listed.cell() && m.units() == s.listed.units();
         if (was && !stays) { leave(s); }
         s.listed = m;
-        s.zone = zone(m.zone());
+        if (s.zone.id != m.zone()) { s.zone = zone(m.zone()); }
         s.named = true;
         s.namedIn = lists;
         if (s.ready()) {
--- a/src/main/java/dewstage/proxy/LoopLag.java
+++ b/src/main/java/dewstage/proxy/LoopLag.java
@@ -25,7 +25,7 @@
             since = beatAt;
             // New connections are accepted first and read after: all that waited is taken in within a beat.
             until = now + BEAT_NS;
-            longest = Math.max(longest(now), now - beatAt);
+            longest = longest(now);
             longestAt = now;
             Log.line("stood still for " + TimeUnit.NANOSECONDS.toMillis(now - beatAt) + " ms");
         }
--- a/src/test/java/dewstage/ModuleSizeTest.java
+++ b/src/test/java/dewstage/ModuleSizeTest.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
-import java.util.regex.MatchResult;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -26,8 +25,8 @@
     private static List<Path> files() throws IOException {
         String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
                 .filter(l -> l.startsWith("policy = ")).findFirst().orElseThrow();
-        return Pattern.compile("\"([^\"]+)\"").matcher(line).results().map(MatchResult::group)
-                .map(name -> Path.of(name.replace("\"", ""))).toList();
+        return Pattern.compile("\"([^\"]+)\"").matcher(line).results()
+                .map(name -> Path.of(name.group(1))).toList();
     }
 
     private static List<String> lines() throws IOException {
--- a/src/test/java/dewstage/proxy/MembershipTest.java
+++ b/src/test/java/dewstage/proxy/MembershipTest.java
@@ -38,7 +38,7 @@
     /** What comes of a text in pieces of so many bytes. */
     private List<Discovery.ListUpdate> read(String text, int piece) throws IOException {
         ListReader lists = new ListReader(membership, config);
-        List<Discovery.ListUpdate> listUpdate = new ArrayList<>();
+        List<Discovery.ListUpdate> updates = new ArrayList<>();
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         try (Json.Stream stream = new Json.Stream()) {
             for (int i = 0; i < bytes.length; i += piece) {
@@ -46,18 +46,18 @@
                 stream.feed(part, (parser, token) -> {
                     Discovery.ListUpdate n = lists.take(parser, token);
                     if (n != null) {
-                        listUpdate.add(n);
+                        updates.add(n);
                     }
                 });
             }
         }
-        return listUpdate;
+        return updates;
     }
 
     private Discovery.ListUpdate one(String text) throws IOException {
-        List<Discovery.ListUpdate> listUpdate = read(text, text.length());
-        assertEquals(1, listUpdate.size());
-        return listUpdate.get(0);
+        List<Discovery.ListUpdate> updates = read(text, text.length());
+        assertEquals(1, updates.size());
+        return updates.get(0);
     }
 
     private static String entry(String id, int cell, String lifecycle, int weight) {
@@ -121,10 +121,10 @@
             }
             String text = list(whole, random.nextBoolean(), String.join(",", entries));
             int end = cut ? random.nextInt(text.length()) : text.length();
-            List<Discovery.ListUpdate> listUpdate = read(text.substring(0, end), 1 + random.nextInt(90));
-            assertEquals(cut ? 0 : 1, listUpdate.size());
+            List<Discovery.ListUpdate> updates = read(text.substring(0, end), 1 + random.nextInt(90));
+            assertEquals(cut ? 0 : 1, updates.size());
             listed = cut ? listed : next;
-            for (Discovery.ListUpdate n : listUpdate) {
+            for (Discovery.ListUpdate n : updates) {
                 kinds.add(n.kind());
                 for (Discovery.Listed l : n.list()) {
                     Discovery.Listed before = told.get(l.member().id());
