Log each call to discovery from its opening to its end, and the list behind each attempt

Now each call has a number, and lines for its opening (version asked for), connection, answer, each list (version from and to) and end with its reason; a proxy that serves on its known list says so. With NODE_LOG_ATTEMPTS set each attempt is logged with its request, server, list version and the time since the list was confirmed. No decision changes.

--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -137,6 +137,9 @@
     private boolean wanted;
     private Channel watch;
     private ScheduledFuture<?> retry;
+    private int calls;
+    /** When a list or a beat last came, by nanoTime; 0 if none ever did. */
+    private long confirmedAt;
 
     Discovery(EventLoop loop, Config config, Listener listener) {
         this(loop, config, listener, SILENCE_MS, Membership.usualRoom());
@@ -191,6 +194,12 @@
         return membership.get(number);
     }
 
+    /** The id of what is listed under a number; the number itself if nothing is. */
+    String name(int number) {
+        Membership.Entry entry = membership.get(number);
+        return entry == null ? "#" + Integer.toUnsignedString(number) : entry.id;
+    }
+
     private static String firstLine(Exception e) {
         return e.getMessage().lines().findFirst().orElse("");
     }
@@ -232,6 +241,10 @@
         Channel old = watch;
         watch = null;
         if (old != null) {
+            Watch call = old.pipeline().get(Watch.class);
+            if (call != null) {
+                call.call.reason("closed by this proxy");
+            }
             old.close();
         }
         if (retry != null) {
@@ -242,23 +255,43 @@
 
     private void open() {
         retry = null;
+        DiscoveryCall call = new DiscoveryCall(++calls, address, version);
         ChannelFuture connect = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMs(config.drainGraceNs()))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) throws IOException {
-                        c.pipeline().addLast(new HttpClientCodec(), new Watch());
+                        c.pipeline().addLast(new HttpClientCodec(), new Watch(call));
                     }
                 }).connect(address);
         watch = connect.channel();
         if (Sockets.noneFor(connect)) {
             Log.line("discovery cannot be called: " + connect.cause());
+            call.ended("no descriptor");
             ended(watch);
         } else {
-            watch.closeFuture().addListener(f -> ended(connect.channel()));
+            connect.addListener(f -> {
+                if (!f.isSuccess()) {
+                    call.reason("cannot connect: " + f.cause());
+                }
+            });
+            watch.closeFuture().addListener(f -> {
+                call.ended("closed by discovery");
+                ended(connect.channel());
+            });
         }
     }
 
+    /** How long ago discovery last showed that the list is current, in ns; -1 if it never did. */
+    long listAgeNs() {
+        return confirmedAt == 0 ? -1 : System.nanoTime() - confirmedAt;
+    }
+
+    /** The version of the list in force; -1 if there is none. */
+    long version() {
+        return version;
+    }
+
     private void ended(Channel c) {
         if (c != watch) {
             return; // closed on purpose
@@ -300,11 +333,15 @@
         /** Of the list at hand. */
         private long listBytes;
         private ScheduledFuture<?> silence;
+        private final DiscoveryCall call;
 
-        Watch() throws IOException { }
+        Watch(DiscoveryCall call) throws IOException {
+            this.call = call;
+        }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
+            call.connected();
             String from = version < 0 ? "" : "&index=" + version;
             DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     "/catalog/members?stream=1" + from);
@@ -319,8 +356,7 @@
                 silence.cancel(false);
             }
             silence = loop.schedule(() -> {
-                Log.line("discovery is silent: the watch is opened again");
-                ctx.close();
+                close(ctx, "silent for " + nextMs + " ms");
             }, nextMs, TimeUnit.MILLISECONDS);
         }
 
@@ -329,28 +365,40 @@
             if (ctx.channel() != watch) {
                 return; // given up: what is left of it comes again on the next
             }
-            if (message.decoderResult().isFailure()
-                    || message instanceof HttpResponse r && !r.status().equals(HttpResponseStatus.OK)) {
-                ctx.close();
+            if (message.decoderResult().isFailure()) {
+                close(ctx, "no HTTP: " + message.decoderResult().cause());
                 return;
             }
-            if (message instanceof HttpResponse) {
+            if (message instanceof HttpResponse r) {
+                call.answered(r.status());
+                if (!r.status().equals(HttpResponseStatus.OK)) {
+                    close(ctx, "refused with " + r.status().code());
+                    return;
+                }
                 restartSilenceTimer(ctx, silenceMs);
             }
             if (message instanceof HttpContent content) {
                 read(ctx, content.content());
             }
             if (message instanceof LastHttpContent) {
-                ctx.close();
+                close(ctx, "the answer has ended");
             }
         }
 
+        private void close(ChannelHandlerContext ctx, String reason) {
+            call.reason(reason);
+            ctx.close();
+        }
+
         private void read(ChannelHandlerContext ctx, ByteBuf bytes) {
             // An empty line is a sign of life between lists; inside one it brings that no nearer to its end.
             boolean blank = bytes.forEachByte(b -> b >= 0 && b <= ' ') < 0;
             if (lists.between() || !blank) {
                 restartSilenceTimer(ctx, silenceMs);
             }
+            if (lists.between() && version >= 0) {
+                confirmedAt = System.nanoTime();
+            }
             try {
                 stream.feed(ByteBufUtil.getBytes(bytes), (parser, token) -> {
                     ListUpdate listUpdate = lists.take(parser, token);
@@ -365,15 +413,17 @@
             } catch (TooLargeException | StreamConstraintsException e) {
                 refused = true;
                 Log.line("a list of discovery is too large, the old one stands: " + firstLine(e));
-                ctx.close();
+                close(ctx, "its list is too large");
             } catch (IOException | IllegalArgumentException e) {
                 // It may have been news: only a new watch from the last version is sure to bring it.
                 Log.line("a list of discovery is not understood: " + firstLine(e));
-                ctx.close();
+                close(ctx, "its list is not understood");
             }
         }
 
         private void take(ListUpdate listUpdate) {
+            call.list(version, listUpdate);
+            confirmedAt = System.nanoTime();
             version = listUpdate.version();
             pauseMs = FIRST_PAUSE_MS;
             listener.onListUpdate(listUpdate);
@@ -387,7 +437,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
+            close(ctx, "broken: " + cause);
         }
     }
 
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -64,6 +64,9 @@
     private static final int REHEARSED = 150;
     static final long REHEARSAL_MS = 2000;
 
+    /** Of a proxy started with this variable set, each attempt leaves a line in the log. */
+    private static final boolean LOG_ATTEMPTS = System.getenv("NODE_LOG_ATTEMPTS") != null;
+
     private interface Event {
         void at(long now);
     }
@@ -215,6 +218,10 @@
         }
         loop.schedule(() -> {
             if (known != null && !known.list().isEmpty()) {
+                if (!listed) {
+                    Log.line("no list from discovery after " + LIST_WAIT_MS
+                            + " ms: serving on the known one, version " + known.version());
+                }
                 listed();
             }
         }, LIST_WAIT_MS, TimeUnit.MILLISECONDS);
@@ -458,11 +465,21 @@
             ended(x, number, server, now, Status.MOOT, null, null);
             return;
         }
+        if (LOG_ATTEMPTS) {
+            logAttempt(x, number, server);
+        }
         x.attempts.add(backends.send(server, x.message, timeoutNs == 0 ? left : Math.min(timeoutNs, left),
                 () -> wanted(x),
                 (a, status, report, answer) -> ended(x, number, server, now, status, report, answer)));
     }
 
+    private void logAttempt(Exchange x, int number, int server) {
+        long ageNs = discovery.listAgeNs();
+        Log.line("attempt " + number + " of request " + x.message.headers().get("Request-Id") + " to server "
+                + discovery.name(server) + ", list version " + discovery.version() + ", confirmed "
+                + (ageNs < 0 ? "never" : TimeUnit.NANOSECONDS.toMillis(ageNs) + " ms ago"));
+    }
+
     @Override
     public void refuse(int ticket, long retryInNs) {
         Exchange x = exchanges.get(ticket);
