--- /dev/null
+++ b/src/test/java/dewstage/faults/ProxySettings.java
@@ -0,0 +1,40 @@
+package dewstage.faults;
+
+import java.time.Duration;
+
+/**
+ * The configuration of one proxy of the harness.
+ *
+ * @param pushed whether lists are pushed or asked for
+ * @param discovery an IP address and a port
+ * @param known the list that the proxy starts with, as JSON
+ */
+record ProxySettings(int me, int proxies, boolean pushed, String discovery, Duration grace, String known) {
+    /** Where lists are asked for, one that is older than this counts as told of what has changed. */
+    static final Duration ASK_WITHIN = Duration.ofSeconds(12);
+
+    String json() {
+        return """
+            {"listen":"127.0.0.1:0","discovery":"%s","seed":"%x",
+             "limits":{"cores":1.0,"memory_mb":128,"sockets":512},
+             "known":%s,
+             "settings":{"me":%d,"balancers":%d,"zone":0,"step_ns":5000000,"zones":["a"],"skus":["m1"],
+              "tenants":[],"discovery":"%s",
+              "profiles":[
+               {"name":"look","effect":"idempotent","promise_ns":250000000,"give_up_ns":600000000,"worth":1.0}],
+              "limits":{"cancelling":true,"max_attempts":4,"retry_after":true,"max_retry_after_ns":1200000000,
+               "connect_timeout_ns":250000000,"keepalive_ns":15000000000},
+              "rules":{"start_capacity":0.31,"cold_ns":8800000000,"tip_multiple":3.0,"fall_ns":1500000000,
+               "drain_grace_ns":%d,"ask_within_ns":%d}}}
+            """
+                .formatted(
+                        discovery,
+                        0x5eedL + me,
+                        known,
+                        me,
+                        proxies,
+                        pushed ? "pushed" : "on_request",
+                        grace.toNanos(),
+                        ASK_WITHIN.toNanos());
+    }
+}
