Wait in discovery's line instead of calling again, and stop relying on a list that nothing confirms

Discovery works through calls in turn, refuses one that has waited for 2.0 s and spends the same on it as on one that it answers. The proxies called again 0.1 to 2.5 s after each refusal, and gave up a call of their own accord after 2.2 s: 100 proxies repeat some 30 calls a second, and where discovery answers 18 its line stays longer than 2 s for ever, full of calls that nobody waits for. Class: retry storm, metastable. And nothing in the program knew how old its list was: a process that had never been answered served on the list of its start.

Excluded: calls that do not connect (1 to 4 ms each), SIGHUP (none), lists not taken in (none written to them), requests held up inside (1 to 90 ms).

CallPatience: one call waits as long as its connection lives and discovery accepts connections (a look each 2 s), 20 s where nothing is known, twice the wait that discovery is known to refuse at. A process that cannot rely on its list pauses 2 s and a share of a range that grows from 6 to 16 s behind a refusal; one that can, up to 2 s, jittered. ListFreshness: a list is relied on for 6 s and the grace, less 0.4 s, after a list or beat, after a connect that failed, and, behind the end of a watch, after refused calls for 30 s at most; requests beyond that are refused at once, or failed where an attempt may have run. A new address keeps the old watch until it has answered.

--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -2,30 +2,16 @@
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.core.exc.StreamConstraintsException;
 import dewstage.Balancer.ListKind;
 import dewstage.Balancer.Member;
+import dewstage.CallPatience;
+import dewstage.ListFreshness;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -34,6 +20,7 @@
 import java.util.AbstractList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -41,7 +28,7 @@
  * Keeps a watch on discovery and turns what it says into list events. A watch that ends, falls silent or says
  * what cannot be read is opened again from the last version; the old list stands meanwhile.
  */
-final class Discovery {
+final class Discovery implements DiscoveryWatch.Owner {
     /** A backend as listed, and where this proxy reaches it; the socket address is made when asked for. */
     static class Listed {
         private final Member member;
@@ -111,12 +98,9 @@
      * by then all proxies must have called again, in turn, and been answered.
      */
     static final long SILENCE_MS = 3000;
-    /**
-     * An answer may take so long to begin: calls are worked through in turn, and one that has waited for too
-     * long is refused there. A change counts as told 6 s after discovery can be reached: when a call hangs
-     * that was made just before, this and the module's longest pause must leave time for the next.
-     */
-    static final long ANSWER_MS = 2200;
+    /** While a call waits, so often a look whether discovery is there; it is not after so many in a row. */
+    private static final long LOOK_MS = 2000;
+    private static final int MOST_FAILED_LOOKS = 2;
     private static final long FIRST_PAUSE_MS = 100, LONGEST_PAUSE_MS = 1600;
     /** A list that is too large is so again at the next call, and costs all that is sent of it. */
     static final long FIRST_REFUSAL_MS = 1000, LONGEST_REFUSAL_MS = 64_000;
@@ -127,17 +111,27 @@
     private final long silenceMs;
     private final long room;
     private final Membership membership;
+    private final ListFreshness freshness;
+    private final CallPatience patience = new CallPatience();
+    private final SplittableRandom random;
     private InetSocketAddress address;
     private long version = -1;
     private long pauseMs = FIRST_PAUSE_MS;
-    /** Has the watch brought a list that is too large? The pause if so, and when it ends by nanoTime. */
-    private boolean refused;
     private long refusalMs;
+    /** The end of the pause behind a list that is too large, by nanoTime. */
     private long notBefore = System.nanoTime();
     private boolean wanted;
-    private Channel watch;
+    /** The watch whose lists count, and the call that is to take its place; null if there is none. */
+    private DiscoveryWatch watch;
+    private DiscoveryWatch call;
     private ScheduledFuture<?> retry;
+    /** While a call waits: when it is given up, and the next look for a sign of life. */
+    private ScheduledFuture<?> waitEnd;
+    private ScheduledFuture<?> look;
     private int calls;
+    private int failedLooks;
+    /** Calls in a row that did not connect. */
+    private int unconnected;
     /** When a list or a beat last came, by nanoTime; 0 if none ever did. */
     private long confirmedAt;
 
@@ -147,6 +141,13 @@
 
     /** The entries of all that is listed may take so much room, in bytes, and so may the text of one list. */
     Discovery(EventLoop loop, Config config, Listener listener, long silenceMs, long room) {
+        this(loop, config, listener, silenceMs, room,
+                new ListFreshness(config.drainGraceNs(), config.settings().askWithinNs()));
+    }
+
+    /** Tells the freshness what it learns. */
+    Discovery(EventLoop loop, Config config, Listener listener, long silenceMs, long room,
+            ListFreshness freshness) {
         this.room = room;
         this.membership = new Membership(room);
         this.loop = loop;
@@ -154,6 +155,8 @@
         this.listener = listener;
         this.address = config.discovery();
         this.silenceMs = silenceMs;
+        this.freshness = freshness;
+        this.random = new SplittableRandom(config.seed());
     }
 
     /** The list that the proxy was started with; null if there is none that can be read. */
@@ -166,7 +169,7 @@
             ListUpdate listUpdate = read(parser, first);
             return new ListUpdate(ListKind.CACHED, listUpdate.version(), listUpdate.list());
         } catch (IOException | IllegalArgumentException e) {
-            Log.line("the known list is not used: " + firstLine(e));
+            Log.line("the known list is not used: " + Json.firstLine(e));
             return null;
         }
     }
@@ -200,16 +203,15 @@
         return entry == null ? "#" + Integer.toUnsignedString(number) : entry.id;
     }
 
-    private static String firstLine(Exception e) {
-        return e.getMessage().lines().findFirst().orElse("");
-    }
-
     /** Opens the watch or closes it. Pushed lists are watched for good; one that is asked for is one call. */
     void watch(boolean on) {
-        if (on && wanted && watch != null) {
+        if (on && wanted && (call != null || watch != null && watch.address().equals(address))) {
             return; // a further call would only go to the end of the line that this one waits in
         }
-        close();
+        closeCall("closed by this proxy");
+        if (!on) {
+            closeWatch("closed by this proxy");
+        }
         wanted = on;
         long waitNs = notBefore - System.nanoTime();
         if (on && waitNs > 0) {
@@ -220,9 +222,9 @@
     }
 
     /**
-     * Discovery is elsewhere now: the watch goes on there at once, from the last version that was heard, also
-     * where the module has a pause before its next call: that is for the old address, and what the new one
-     * has to tell soon counts as told.
+     * Discovery is elsewhere now: it is called there at once, from the last version that was heard, also where
+     * the module has a pause before its next call: that is for the old address. The old watch counts until the
+     * new address has answered.
      */
     void move(InetSocketAddress to) {
         if (to.equals(address)) {
@@ -232,88 +234,181 @@
         pauseMs = FIRST_PAUSE_MS;
         refusalMs = 0;
         notBefore = System.nanoTime();
-        close();
+        freshness.moved(System.nanoTime());
+        closeCall("discovery has moved");
         wanted = true;
         open();
     }
 
-    private void close() {
-        Channel old = watch;
-        watch = null;
-        if (old != null) {
-            Watch call = old.pipeline().get(Watch.class);
-            if (call != null) {
-                call.call.reason("closed by this proxy");
-            }
-            old.close();
+    private void closeWatch(String reason) {
+        if (watch != null) {
+            watch.close(reason);
+            watch = null;
         }
-        if (retry != null) {
-            retry.cancel(false);
-            retry = null;
+    }
+
+    /** Ends the call that waits, or the wait for the next. */
+    private void closeCall(String reason) {
+        if (call != null) {
+            call.close(reason);
+            callIsOver();
+        }
+        cancel(retry);
+        retry = null;
+    }
+
+    private void callIsOver() {
+        call = null;
+        cancel(waitEnd);
+        cancel(look);
+    }
+
+    private static void cancel(ScheduledFuture<?> timer) {
+        if (timer != null) {
+            timer.cancel(false);
         }
     }
 
     private void open() {
         retry = null;
-        DiscoveryCall call = new DiscoveryCall(++calls, address, version);
+        failedLooks = 0;
+        call = new DiscoveryWatch(loop, this, address, version, silenceMs, room,
+                new ListReader(membership, config), newRecord());
+        waitEnd = loop.schedule(() -> call.giveUp("no answer"), patience.waitNs(), TimeUnit.NANOSECONDS);
+        look = loop.schedule(this::lookForLife, LOOK_MS, TimeUnit.MILLISECONDS);
+        call.open((int) connectMs(config.drainGraceNs()));
+    }
+
+    /** In an outage every call fails to connect: of those in a row the first, second, fourth and so on count. */
+    private DiscoveryCall newRecord() {
+        boolean logged = Integer.bitCount(unconnected + 1) == 1;
+        return new DiscoveryCall(++calls, address, version, logged);
+    }
+
+    /**
+     * A call in a long line looks like one to a machine that has vanished. But a machine that is there accepts
+     * connections, also where discovery has no time for calls.
+     */
+    private void lookForLife() {
+        if (watch != null && watch.address().equals(address)) {
+            look = loop.schedule(this::lookForLife, LOOK_MS, TimeUnit.MILLISECONDS);
+            return; // it speaks, or ends as silent
+        }
+        DiscoveryWatch waiting = call;
         ChannelFuture connect = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMs(config.drainGraceNs()))
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel c) throws IOException {
-                        c.pipeline().addLast(new HttpClientCodec(), new Watch(call));
-                    }
-                }).connect(address);
-        watch = connect.channel();
-        if (Sockets.noneFor(connect)) {
-            Log.line("discovery cannot be called: " + connect.cause());
-            call.ended("no descriptor");
-            ended(watch);
+                .handler(new ChannelInboundHandlerAdapter()).connect(address);
+        boolean noDescriptor = Sockets.noneFor(connect);
+        connect.addListener(f -> {
+            if (!noDescriptor) {
+                connect.channel().close();
+            }
+            if (waiting == call) {
+                looked(f.isSuccess() || noDescriptor);
+            }
+        });
+    }
+
+    private void looked(boolean alive) {
+        failedLooks = alive ? 0 : failedLooks + 1;
+        if (failedLooks >= MOST_FAILED_LOOKS) {
+            freshness.unreachable(System.nanoTime());
+            call.giveUp("discovery accepts no connections any more");
         } else {
-            connect.addListener(f -> {
-                if (!f.isSuccess()) {
-                    call.reason("cannot connect: " + f.cause());
-                }
-            });
-            watch.closeFuture().addListener(f -> {
-                call.ended("closed by discovery");
-                ended(connect.channel());
-            });
+            look = loop.schedule(this::lookForLife, alive ? LOOK_MS : FIRST_PAUSE_MS, TimeUnit.MILLISECONDS);
         }
     }
 
-    /** How long ago discovery last showed that the list is current, in ns; -1 if it never did. */
-    long listAgeNs() {
-        return confirmedAt == 0 ? -1 : System.nanoTime() - confirmedAt;
+    @Override
+    public void answered(DiscoveryWatch answered) {
+        patience.answered(answered.ageNs());
+        callIsOver();
+        unconnected = 0;
+        closeWatch("another call is answered");
+        watch = answered;
     }
 
-    /** The version of the list in force; -1 if there is none. */
-    long version() {
-        return version;
+    @Override
+    public void alive(DiscoveryWatch alive) {
+        if (version >= 0) {
+            confirm(alive);
+        }
+    }
+
+    @Override
+    public void listed(DiscoveryWatch from, ListUpdate update) {
+        version = update.version();
+        pauseMs = FIRST_PAUSE_MS;
+        confirm(from);
+        listener.onListUpdate(update);
     }
 
-    private void ended(Channel c) {
-        if (c != watch) {
-            return; // closed on purpose
+    /** What the old address says after a move is no sign that the list is that of the new one. */
+    private void confirm(DiscoveryWatch by) {
+        if (by.address().equals(address)) {
+            confirmedAt = System.nanoTime();
+            freshness.confirmed(confirmedAt);
+        }
+    }
+
+    @Override
+    public void ended(DiscoveryWatch ended, DiscoveryWatch.End end) {
+        long pauseNs = 0;
+        if (ended == call) {
+            pauseNs = callFailed(end);
+        } else {
+            watch = null;
+            if (end == DiscoveryWatch.End.CLOSED_BY_PEER) {
+                freshness.watchEnded(System.nanoTime());
+            }
         }
-        watch = null;
         // Doubles until a watch ends otherwise: a list that was taken ahead of the large one proves nothing.
-        refusalMs = refused ? Math.max(FIRST_REFUSAL_MS, Math.min(2 * refusalMs, LONGEST_REFUSAL_MS)) : 0;
-        notBefore = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(refusalMs);
-        refused = false;
-        if (!wanted) {
-            return;
+        refusalMs = end == DiscoveryWatch.End.TOO_LARGE
+                ? Math.max(FIRST_REFUSAL_MS, Math.min(2 * refusalMs, LONGEST_REFUSAL_MS)) : 0;
+        pauseNs = Math.max(pauseNs, TimeUnit.MILLISECONDS.toNanos(refusalMs));
+        notBefore = System.nanoTime() + pauseNs;
+        if (wanted && call == null && retry == null) {
+            callAgain(pauseNs);
         }
+    }
+
+    /** The last call or watch has ended; the next call comes no sooner than after a pause. */
+    private void callAgain(long pauseNs) {
         if (config.settings().askForList()) {
             // Here calls cost, and the module says when to ask again.
             wanted = false;
             listener.failed();
             return;
         }
-        retry = loop.schedule(this::open, Math.max(pauseMs, refusalMs), TimeUnit.MILLISECONDS);
+        long usualNs = TimeUnit.MILLISECONDS.toNanos(jittered(pauseMs));
+        retry = loop.schedule(this::open, Math.max(usualNs, pauseNs), TimeUnit.NANOSECONDS);
         pauseMs = Math.min(2 * pauseMs, longestPauseMs(config.drainGraceNs()));
     }
 
+    /** Returns for how long discovery must be left alone. */
+    private long callFailed(DiscoveryWatch.End end) {
+        long waitedNs = call.ageNs();
+        long now = System.nanoTime();
+        callIsOver();
+        unconnected = end == DiscoveryWatch.End.NOT_CONNECTED ? unconnected + 1 : 0;
+        if (end == DiscoveryWatch.End.NOT_CONNECTED) {
+            freshness.unreachable(now);
+        } else if (end == DiscoveryWatch.End.SILENT) {
+            patience.givenUp();
+        } else if (end == DiscoveryWatch.End.REFUSED || end == DiscoveryWatch.End.CLOSED_BY_PEER) {
+            freshness.refused(now);
+            patience.refused(waitedNs);
+            return CallPatience.waited(waitedNs)
+                    ? patience.pauseNs(freshness.reliable(now), random.nextDouble()) : 0;
+        }
+        return 0;
+    }
+
+    /** Between half and all of it, so that those who failed together do not call in step. */
+    private long jittered(long ms) {
+        return ms / 2 + random.nextLong(ms / 2 + 1);
+    }
+
     /**
      * Where lists are pushed, what comes in while discovery could not be reached counts as told at its return
      * at once: a try that hangs and the pause behind it must leave some of the time that drains have.
@@ -326,119 +421,14 @@
         return connectMs(drainGraceNs) / 2;
     }
 
-    /** One watch: JSON in a chunked answer. A list counts once its end has come, however it is laid out. */
-    private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
-        private final Json.Stream stream = new Json.Stream();
-        private final ListReader lists = new ListReader(membership, config);
-        /** Of the list at hand. */
-        private long listBytes;
-        private ScheduledFuture<?> silence;
-        private final DiscoveryCall call;
-
-        Watch(DiscoveryCall call) throws IOException {
-            this.call = call;
-        }
-
-        @Override
-        public void channelActive(ChannelHandlerContext ctx) {
-            call.connected();
-            String from = version < 0 ? "" : "&index=" + version;
-            DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/catalog/members?stream=1" + from);
-            get.headers().set(HttpHeaderNames.HOST, ctx.channel().remoteAddress().toString().substring(1));
-            ctx.writeAndFlush(get);
-            restartSilenceTimer(ctx, ANSWER_MS);
-        }
-
-        /** A discovery that is cut off leaves the watch open and silent: give it up. */
-        private void restartSilenceTimer(ChannelHandlerContext ctx, long nextMs) {
-            if (silence != null) {
-                silence.cancel(false);
-            }
-            silence = loop.schedule(() -> {
-                close(ctx, "silent for " + nextMs + " ms");
-            }, nextMs, TimeUnit.MILLISECONDS);
-        }
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
-            if (ctx.channel() != watch) {
-                return; // given up: what is left of it comes again on the next
-            }
-            if (message.decoderResult().isFailure()) {
-                close(ctx, "no HTTP: " + message.decoderResult().cause());
-                return;
-            }
-            if (message instanceof HttpResponse r) {
-                call.answered(r.status());
-                if (!r.status().equals(HttpResponseStatus.OK)) {
-                    close(ctx, "refused with " + r.status().code());
-                    return;
-                }
-                restartSilenceTimer(ctx, silenceMs);
-            }
-            if (message instanceof HttpContent content) {
-                read(ctx, content.content());
-            }
-            if (message instanceof LastHttpContent) {
-                close(ctx, "the answer has ended");
-            }
-        }
-
-        private void close(ChannelHandlerContext ctx, String reason) {
-            call.reason(reason);
-            ctx.close();
-        }
-
-        private void read(ChannelHandlerContext ctx, ByteBuf bytes) {
-            // An empty line is a sign of life between lists; inside one it brings that no nearer to its end.
-            boolean blank = bytes.forEachByte(b -> b >= 0 && b <= ' ') < 0;
-            if (lists.between() || !blank) {
-                restartSilenceTimer(ctx, silenceMs);
-            }
-            if (lists.between() && version >= 0) {
-                confirmedAt = System.nanoTime();
-            }
-            try {
-                stream.feed(ByteBufUtil.getBytes(bytes), (parser, token) -> {
-                    ListUpdate listUpdate = lists.take(parser, token);
-                    if (listUpdate != null) {
-                        take(listUpdate);
-                    }
-                });
-                listBytes = lists.between() ? 0 : listBytes + bytes.readableBytes();
-                if (listBytes > room) {
-                    throw new TooLargeException("more than " + room / 1_000_000 + " MB of text");
-                }
-            } catch (TooLargeException | StreamConstraintsException e) {
-                refused = true;
-                Log.line("a list of discovery is too large, the old one stands: " + firstLine(e));
-                close(ctx, "its list is too large");
-            } catch (IOException | IllegalArgumentException e) {
-                // It may have been news: only a new watch from the last version is sure to bring it.
-                Log.line("a list of discovery is not understood: " + firstLine(e));
-                close(ctx, "its list is not understood");
-            }
-        }
-
-        private void take(ListUpdate listUpdate) {
-            call.list(version, listUpdate);
-            confirmedAt = System.nanoTime();
-            version = listUpdate.version();
-            pauseMs = FIRST_PAUSE_MS;
-            listener.onListUpdate(listUpdate);
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) throws IOException {
-            silence.cancel(false);
-            stream.close();
-        }
+    /** How long ago discovery last showed that the list is current, in ns; -1 if it never did. */
+    long listAgeNs() {
+        return confirmedAt == 0 ? -1 : System.nanoTime() - confirmedAt;
+    }
 
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            close(ctx, "broken: " + cause);
-        }
+    /** The version of the list in force; -1 if there is none. */
+    long version() {
+        return version;
     }
 
     /** How many backends have a number. */
--- a/src/main/java/dewstage/proxy/DiscoveryCall.java
+++ b/src/main/java/dewstage/proxy/DiscoveryCall.java
@@ -7,13 +7,20 @@
 /** The record of one call to discovery: what became of it and when, a line in the log for each step. */
 final class DiscoveryCall {
     private final int id;
+    private final boolean logged;
     private final long openedAt = System.nanoTime();
     private boolean answered;
     private String reason;
 
-    /** A call that is about to connect, for what came after a version; -1 asks for the whole list. */
-    DiscoveryCall(int id, InetSocketAddress to, long version) {
+    /**
+     * A call that is about to connect.
+     *
+     * @param version what came after that is asked for; -1 for the whole list
+     * @param logged false for a call that will hardly connect, of which nothing need be said
+     */
+    DiscoveryCall(int id, InetSocketAddress to, long version, boolean logged) {
         this.id = id;
+        this.logged = logged;
         log("opened to " + to.getAddress().getHostAddress() + ':' + to.getPort() + " after version "
                 + version);
     }
@@ -50,6 +57,8 @@
     }
 
     private void log(String what) {
-        Log.line("discovery call " + id + " " + what);
+        if (logged) {
+            Log.line("discovery call " + id + " " + what);
+        }
     }
 }
--- a/src/main/java/dewstage/proxy/Json.java
+++ b/src/main/java/dewstage/proxy/Json.java
@@ -113,6 +113,11 @@
         void take(JsonParser parser, JsonToken token) throws IOException;
     }
 
+    /** What a parser or reader complains of; its message may run over several lines. */
+    static String firstLine(Exception e) {
+        return e.getMessage().lines().findFirst().orElse("");
+    }
+
     /** Values that come one after another in pieces, however they are laid out. */
     static final class Stream implements AutoCloseable {
         private final JsonParser parser;
--- a/src/main/java/dewstage/proxy/Membership.java
+++ b/src/main/java/dewstage/proxy/Membership.java
@@ -137,7 +137,7 @@
             List<Entry> leaving = new ArrayList<>();
             if (whole) {
                 held.each(e -> {
-                    if (e.list != list) {
+                    if (e.list < list) { // what a later list has named, that another watch brings, stays
                         leaving.add(e);
                     }
                 });
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -7,6 +7,7 @@
 import dewstage.Balancer.Report;
 import dewstage.Balancer.Request;
 import dewstage.Balancer.Status;
+import dewstage.ListFreshness;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -81,6 +82,8 @@
         final long timeUp;
         final List<Backends.Attempt> attempts = new ArrayList<>(2);
         int out;
+        /** Some attempt that has ended may have run. */
+        boolean mayHaveRun;
         boolean over;
         ScheduledFuture<?> backstop;
 
@@ -100,6 +103,7 @@
     private final Frontend frontend;
     private final Backends backends;
     private final Discovery discovery;
+    private final ListFreshness freshness;
     private final Balancer balancer;
     private final Map<Integer, Exchange> exchanges = new HashMap<>();
     private final Map<Client, Exchange> byClient = new IdentityHashMap<>();
@@ -108,6 +112,8 @@
     private final boolean watches;
     private boolean delivering;
     private boolean listed;
+    /** Was the list good enough to send by when that was last asked? */
+    private boolean relied = true;
     private int tickets;
     /** When a request was last answered. */
     private long answeredAt;
@@ -116,13 +122,22 @@
     /** To be called on the loop. One that does not watch never calls discovery, whatever its module asks. */
     Proxy(Config config, EventLoop loop, Balancer.Factory factory, Backends.Transport transport,
             boolean watches, Clock clock) {
+        this(config, loop, factory, transport, watches, clock,
+                new ListFreshness(config.drainGraceNs(), config.settings().askWithinNs()));
+    }
+
+    /** The freshness says for how long the list is relied on; it is told what discovery does. */
+    private Proxy(Config config, EventLoop loop, Balancer.Factory factory, Backends.Transport transport,
+            boolean watches, Clock clock, ListFreshness freshness) {
+        this.freshness = freshness;
         this.config = config;
         this.clock = clock;
         this.watches = watches;
         this.loop = loop;
         Sockets sockets = new Sockets(config.sockets());
         this.frontend = new Frontend(config, clock, lag, sockets.clients, this);
-        this.discovery = new Discovery(loop, config, this);
+        this.discovery = new Discovery(loop, config, this, Discovery.SILENCE_MS, Membership.usualRoom(),
+                freshness);
         this.backends = new Backends(loop, clock, sockets.backends, config, transport, discovery::listed);
         this.balancer = factory.create(config.settings(), config.seed(), clock.now(), this);
     }
@@ -184,9 +199,15 @@
 
     static Proxy start(Config config, EventLoop loop, Balancer.Factory factory, Clock clock)
             throws IOException {
+        return start(config, loop, factory, clock,
+                new ListFreshness(config.drainGraceNs(), config.settings().askWithinNs()));
+    }
+
+    static Proxy start(Config config, EventLoop loop, Balancer.Factory factory, Clock clock,
+            ListFreshness freshness) throws IOException {
         try {
             return loop.submit(() -> {
-                Proxy p = new Proxy(config, loop, factory, Backends.tcp(loop), true, clock);
+                Proxy p = new Proxy(config, loop, factory, Backends.tcp(loop), true, clock, freshness);
                 p.begin();
                 return p;
             }).get().bound();
@@ -363,6 +384,10 @@
         byClient.put(client, x);
         x.backstop = loop.schedule(() -> overdue(x), Math.max(0, timeUp - margin / 2 - now),
                 TimeUnit.NANOSECONDS);
+        if (!listReliable()) {
+            refuse(x.ticket, config.settings().maxRetryAfterNs());
+            return;
+        }
         enqueue(x.ticket, told -> {
             long left = Math.max(0, x.deadline - told);
             balancer.onRequest(told, new Request(x.ticket, terms.profile(), terms.tenant(), terms.key(), left,
@@ -388,14 +413,41 @@
         }
     }
 
-    /** May an attempt of it begin now? Not for a client that has left, also where that is found out here. */
+    /**
+     * May an attempt of it begin now? Not for a client that has left, also where that is found out here, and not
+     * on a list that may be too old.
+     */
     private boolean wanted(Exchange x) {
         if (!x.over && !x.client.present()) {
             gone(x.client);
         }
+        if (!x.over && !listReliable()) {
+            abandon(x);
+        }
         return !x.over;
     }
 
+    /** Is what the list says known well enough to send by it? Each change of that leaves a line in the log. */
+    private boolean listReliable() {
+        boolean reliable = !watches || freshness.reliable(System.nanoTime());
+        if (reliable != relied) {
+            relied = reliable;
+            Log.line("list version " + discovery.version() + ", confirmed " + listAge()
+                    + (reliable ? ": relied on" : ": too old to send by, requests are refused"));
+        }
+        return reliable;
+    }
+
+    /** No attempt of it may begin any more, and the client need not wait for that. */
+    private void abandon(Exchange x) {
+        if (x.mayHaveRun || x.out > 1) {
+            fail(x.ticket);
+        } else {
+            refuse(x.ticket, config.settings().maxRetryAfterNs());
+        }
+        withdraw(x);
+    }
+
     private void withdraw(Exchange x) {
         // Nothing may go out for it any more, whatever the module does.
         for (int i = 0; i < x.attempts.size(); i++) {
@@ -437,6 +489,7 @@
             answer(x, answer.head().status().code(), null,
                     "the backend cannot use this request\n".getBytes(StandardCharsets.UTF_8));
         }
+        x.mayHaveRun |= !status.neverRan || status == Status.FULL && config.settings().fullIsNoProof();
         long elapsed = clock.now() - startedAt;
         enqueue(x.ticket, now -> {
             x.out--;
@@ -474,10 +527,13 @@
     }
 
     private void logAttempt(Exchange x, int number, int server) {
-        long ageNs = discovery.listAgeNs();
         Log.line("attempt " + number + " of request " + x.message.headers().get("Request-Id") + " to server "
-                + discovery.name(server) + ", list version " + discovery.version() + ", confirmed "
-                + (ageNs < 0 ? "never" : TimeUnit.NANOSECONDS.toMillis(ageNs) + " ms ago"));
+                + discovery.name(server) + ", list version " + discovery.version() + ", confirmed " + listAge());
+    }
+
+    private String listAge() {
+        long ageNs = discovery.listAgeNs();
+        return ageNs < 0 ? "never" : TimeUnit.NANOSECONDS.toMillis(ageNs) + " ms ago";
     }
 
     @Override
--- a/src/test/java/dewstage/proxy/DescriptorsTest.java
+++ b/src/test/java/dewstage/proxy/DescriptorsTest.java
@@ -29,6 +29,7 @@
 @Timeout(120)
 class DescriptorsTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+    private static final String SAME_LIST = "{\"generation\":41,\"reset\":false,\"instances\":[]}\n";
     private static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
     @TempDir
@@ -180,6 +181,8 @@
             try (BufferedWriter orders = p.outputWriter()) {
                 Peer.Wire watch = discovery.accept();
                 watch.read();
+                watch.write(WATCH + Integer.toHexString(SAME_LIST.length()) + "\r\n" + SAME_LIST + "\r\n");
+                said(log, "brought DELTA");
                 try (Peer.Wire client = Peer.Wire.to(new InetSocketAddress("127.0.0.1", listen))) {
                     client.write("GET /none HTTP/1.1\r\n\r\n");
                     assertTrue(client.read().startsWith("HTTP/1.1 404 ")); // it has its place
