--- a/src/main/java/dewstage/ListFreshness.java
+++ b/src/main/java/dewstage/ListFreshness.java
@@ -30,8 +30,8 @@
      * Begins with a list that nothing has confirmed.
      *
      * @param drainGraceNs how long after it was told a proxy may still send to a server that drains
-     * @param askWithinNs where lists are asked for, the time after which a list counts as told of later changes;
-     *     else 0
+     * @param askWithinNs where lists are asked for, the time after which one counts as told of what came
+     *     later; else 0
      */
     public ListFreshness(long drainGraceNs, long askWithinNs) {
         long told = askWithinNs > 0 ? Math.min(TOLD_NS, askWithinNs) : TOLD_NS;
--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -222,9 +222,9 @@
     }
 
     /**
-     * Discovery is elsewhere now: it is called there at once, from the last version that was heard, also where
-     * the module has a pause before its next call: that is for the old address. The old watch counts until the
-     * new address has answered.
+     * Discovery is elsewhere now: it is called there at once, from the last version that was heard, also
+     * where the module has a pause before its next call: that is for the old address. The old watch counts
+     * until the new address has answered.
      */
     void move(InetSocketAddress to) {
         if (to.equals(address)) {
@@ -279,15 +279,15 @@
         call.open((int) connectMs(config.drainGraceNs()));
     }
 
-    /** In an outage every call fails to connect: of those in a row the first, second, fourth and so on count. */
+    /** In an outage every call fails to connect: of those in a row the first, second, fourth... count. */
     private DiscoveryCall newRecord() {
         boolean logged = Integer.bitCount(unconnected + 1) == 1;
         return new DiscoveryCall(++calls, address, version, logged);
     }
 
     /**
-     * A call in a long line looks like one to a machine that has vanished. But a machine that is there accepts
-     * connections, also where discovery has no time for calls.
+     * A call in a long line looks like one to a machine that has vanished. But a machine that is there
+     * accepts connections, also where discovery has no time for calls.
      */
     private void lookForLife() {
         if (watch != null && watch.address().equals(address)) {
--- a/src/main/java/dewstage/proxy/DiscoveryWatch.java
+++ b/src/main/java/dewstage/proxy/DiscoveryWatch.java
@@ -28,8 +28,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * One call to discovery and the watch that its answer begins: JSON in a chunked answer. A list counts once its
- * end has come, however it is laid out. Everything happens on one event loop.
+ * One call to discovery and the watch that its answer begins: JSON in a chunked answer. A list counts once
+ * its end has come, however it is laid out. Everything happens on one event loop.
  */
 final class DiscoveryWatch extends SimpleChannelInboundHandler<HttpObject> {
     /** Why a watch has ended; OPEN as long as it has not. */
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -414,8 +414,8 @@
     }
 
     /**
-     * May an attempt of it begin now? Not for a client that has left, also where that is found out here, and not
-     * on a list that may be too old.
+     * May an attempt of it begin now? Not for a client that has left, also where that is found out here, and
+     * not on a list that may be too old.
      */
     private boolean wanted(Exchange x) {
         if (!x.over && !x.client.present()) {
@@ -427,7 +427,7 @@
         return !x.over;
     }
 
-    /** Is what the list says known well enough to send by it? Each change of that leaves a line in the log. */
+    /** Is the list known well enough to send by it? Each change of that leaves a line in the log. */
     private boolean listReliable() {
         boolean reliable = !watches || freshness.reliable(System.nanoTime());
         if (reliable != relied) {
@@ -528,7 +528,8 @@
 
     private void logAttempt(Exchange x, int number, int server) {
         Log.line("attempt " + number + " of request " + x.message.headers().get("Request-Id") + " to server "
-                + discovery.name(server) + ", list version " + discovery.version() + ", confirmed " + listAge());
+                + discovery.name(server) + ", list version " + discovery.version() + ", confirmed "
+                + listAge());
     }
 
     private String listAge() {
