Take out servers that a list names as leaving also where the list breaks off

A watch that was cut in the middle of a list lost all of it, and what was written of it may count as told: a drain in it went unheard until the next call was answered, up to 2.5 s and the wait in discovery's line later, against a grace of 0.5 s (gateway-norte) or 1.5 s. Entries that are in service, and what a whole list leaves out, still wait for the list's end; the version asked for next stays the old one, so all of it comes again. A list that cannot be read or is too large counts nothing, as before.

--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -90,6 +90,11 @@
     interface Listener {
         void onListUpdate(ListUpdate listUpdate);
 
+        /** Part of a list that has broken off: servers that leave. It confirms nothing. */
+        default void onBrokenList(ListUpdate leaving) {
+            onListUpdate(leaving);
+        }
+
         void failed();
     }
 
@@ -343,6 +348,13 @@
         listener.onListUpdate(update);
     }
 
+    @Override
+    public void brokenOff(ListUpdate leaving) {
+        Log.line("a list of discovery has broken off; " + leaving.list().size() + " servers that it named as"
+                + " leaving are taken out");
+        listener.onBrokenList(leaving);
+    }
+
     /** What the old address says after a move is no sign that the list is that of the new one. */
     private void confirm(DiscoveryWatch by) {
         if (by.address().equals(address)) {
--- a/src/main/java/dewstage/proxy/DiscoveryWatch.java
+++ b/src/main/java/dewstage/proxy/DiscoveryWatch.java
@@ -55,6 +55,9 @@
 
         void listed(DiscoveryWatch watch, Discovery.ListUpdate update);
 
+        /** A list has broken off; this is what of it counts all the same. */
+        void brokenOff(Discovery.ListUpdate leaving);
+
         /** Called once. */
         void ended(DiscoveryWatch watch, End end);
     }
@@ -166,10 +169,21 @@
             end = why;
             call.ended(reason);
             release();
+            breakOff();
             owner.ended(this, why);
         }
     }
 
+    /** What cannot be read or is too large is no list at all. */
+    private void breakOff() {
+        if (end == End.CLOSED_BY_PEER || end == End.SILENT) {
+            Discovery.ListUpdate leaving = lists.breakOff(version);
+            if (leaving != null) {
+                owner.brokenOff(leaving);
+            }
+        }
+    }
+
     private void release() {
         if (silence != null) {
             silence.cancel(false);
--- a/src/main/java/dewstage/proxy/ListReader.java
+++ b/src/main/java/dewstage/proxy/ListReader.java
@@ -50,6 +50,13 @@
         return update == null;
     }
 
+    /** No more comes of a list that has begun; returns what of it counts all the same, null if nothing. */
+    Discovery.ListUpdate breakOff(long version) {
+        Discovery.ListUpdate leaving = update == null ? null : update.breakOff(version);
+        update = null;
+        return leaving;
+    }
+
     /** Takes in one token; returns the news if a list ends with it, else null. */
     Discovery.ListUpdate take(JsonParser parser, JsonToken token) throws IOException {
         if (skipping > 0) {
--- a/src/main/java/dewstage/proxy/Membership.java
+++ b/src/main/java/dewstage/proxy/Membership.java
@@ -130,7 +130,7 @@
         }
 
         /**
-         * The list has broken off. What it said of servers that leave counts all the same, for it may count as
+         * The list has broken off. What it said of servers that leave counts all the same: it may count as
          * told, and waiting for it to be said again may outlast the grace; all else comes again.
          *
          * @return what that changes; null if nothing
@@ -161,7 +161,7 @@
             List<Entry> leaving = new ArrayList<>();
             if (whole) {
                 held.each(e -> {
-                    if (e.list < list) { // what a later list of another watch has named stays
+                    if (e.list < list) { // another watch may have named it since
                         leaving.add(e);
                     }
                 });
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -342,6 +342,11 @@
         listed();
     }
 
+    @Override
+    public void onBrokenList(Discovery.ListUpdate leaving) {
+        apply(leaving);
+    }
+
     /** What backends there are is known well enough to serve. */
     private void listed() {
         if (!listed) {
--- a/src/test/java/dewstage/proxy/DiscoveryTest.java
+++ b/src/test/java/dewstage/proxy/DiscoveryTest.java
@@ -71,6 +71,19 @@
         assertEquals(ListKind.DELTA, setup.next("kind", ListKind.class));
     }
 
+    /** What was written of a list counts as told, and the next call may be answered only after the grace. */
+    @Test
+    void aServerThatAListNamesAsLeavingIsTakenOutAlsoIfTheListBreaksOff() throws Exception {
+        Peer.Wire watch = discovery.accept();
+        watch.read();
+        String cut = list(42, false, "s-1", "terminating").trim();
+        watch.write(HEAD + chunk(cut.substring(0, cut.length() - 2))).close();
+        Member m = member();
+        assertEquals(known, m.id());
+        assertEquals(State.DRAINING, m.state());
+        assertTrue(discovery.accept().read().startsWith("GET /catalog/members?stream=1&index=41 "));
+    }
+
     @Test
     void aListMayComeIndentedAndSeveralInOnePiece() throws Exception {
         Peer.Wire watch = discovery.accept();
