Apply reloads in the order they are read, and follow the file where SIGHUP is ignored

Each SIGHUP came on a thread of its own that read the file and handed it to the loop: of two in quick succession the older could be applied last, and the proxy stayed with a discovery that is no more. Reload now reads and hands over one at a time. ReloadTest holds the first read with a latch: without the lock port 9001 is in force at the end, with it 9002.

Started under a parent that ignores SIGHUP (nohup, some supervisors) the runtime keeps it ignored and says nothing, so no new configuration was ever read. ReconfigurationTest, a real process behind "trap '' HUP": without the change the new address is called 0 times in 4 s, with it once. The same test class plays ten signals in a row and a move to a silent address, on which the old watch now stays.

--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -150,7 +150,14 @@
             throws ConfigException, IOException {
         // The default would end the process, so this comes first: an early signal waits for the proxy.
         CompletableFuture<Proxy> started = new CompletableFuture<>();
-        if (!Signals.on("HUP", () -> started.thenAccept(p -> p.reload(environment)))) {
+        Reload reload = new Reload(() -> Config.reread(environment),
+                config -> started.thenAccept(p -> p.loop.execute(() -> p.reload(config))));
+        Runnable reloadOnceStarted = () -> started.thenRun(reload::run);
+        if (Signals.ignored(Signals.SIGHUP)) {
+            Log.line("SIGHUP is ignored since the start: the configuration file is looked at every "
+                    + ConfigFileWatch.LOOK_MS + " ms instead");
+            ConfigFileWatch.start(environment.get("NODE_CONFIG"), reloadOnceStarted);
+        } else if (!Signals.on("HUP", reloadOnceStarted)) {
             Log.line("this runtime cannot hear SIGHUP: the configuration is read at the start only");
         }
         LibraryLog.install();
@@ -258,16 +265,6 @@
         return (InetSocketAddress) listening.channel().localAddress();
     }
 
-    /** Reads the configuration again, off the loop, and hands it over. */
-    private void reload(Map<String, String> environment) {
-        try {
-            Config config = Config.reread(environment);
-            loop.execute(() -> reload(config));
-        } catch (ConfigException e) {
-            Log.line("the new configuration is not used: " + e.getMessage());
-        }
-    }
-
     /**
      * Takes over what may change while it serves: where discovery is. What the proxy knows and holds lives
      * on. To be called on the loop.
--- a/src/test/java/dewstage/faults/ProxyFleet.java
+++ b/src/test/java/dewstage/faults/ProxyFleet.java
@@ -20,6 +20,7 @@
     private final boolean serveScript;
     private final List<InetSocketAddress> addresses = new ArrayList<>();
     private final List<Process> processes = new ArrayList<>();
+    private boolean hangupIgnored;
     private final Thread atExit = new Thread(this::kill, "end of proxies");
 
     /**
@@ -33,6 +34,11 @@
         Runtime.getRuntime().addShutdownHook(atExit);
     }
 
+    /** From now on processes start as under nohup. */
+    void ignoreHangup() {
+        hangupIgnored = true;
+    }
+
     /** Starts one more; its number is in the settings. */
     void start(ProxySettings settings) throws IOException {
         int proxy = processes.size();
@@ -95,6 +101,15 @@
     }
 
     private List<String> command() {
+        List<String> command = new ArrayList<>();
+        if (hangupIgnored) {
+            command.addAll(List.of("sh", "-c", "trap '' HUP; exec \"$0\" \"$@\""));
+        }
+        command.addAll(program());
+        return command;
+    }
+
+    private List<String> program() {
         if (serveScript) {
             return List.of("sh", "deploy/serve.sh");
         }
