--- a/src/main/java/dewstage/proxy/Reload.java
+++ b/src/main/java/dewstage/proxy/Reload.java
@@ -3,8 +3,8 @@
 import java.util.function.Consumer;
 
 /**
- * Reads the configuration anew and hands it over. Signals come on threads of their own: only one reads at a time,
- * and hands over before the next reads, so that the newest configuration is the last to take effect.
+ * Reads the configuration anew and hands it over. Signals come on threads of their own: only one reads at a
+ * time, and hands over before the next reads, so that the newest configuration is the last to take effect.
  */
 final class Reload {
     /** Where the configuration comes from. */
