Keep the discovery stand-in's ports out of the range of outgoing connections

QueueTable, two of them side by side, ended with an exception at the return from an outage: the stand-in could not listen again at a port that the system had meanwhile given to an outgoing connection (a proxy that calls a closed port may even connect to itself). ReconfigurationTest passes.

--- a/src/test/java/dewstage/faults/QueuedDiscovery.java
+++ b/src/test/java/dewstage/faults/QueuedDiscovery.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -24,6 +25,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Stands in for a discovery that is slow: it works through calls in turn and spends the same time on one that was
@@ -39,6 +41,16 @@
     /** A time without end has Long.MAX_VALUE for its end. */
     record Reachable(long from, long to) {}
 
+    /**
+     * Below the ports that the system gives to outgoing connections: one that is free during an outage must not be
+     * taken by those who call meanwhile, or even connect to itself.
+     */
+    private static final int FIRST_PORT = 20_000;
+
+    private static final int PORTS = 10_000;
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 100 % PORTS));
+
     private static final Duration BEAT = Duration.ofSeconds(2);
     private static final int BACKLOG = 4096;
     private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -157,7 +169,22 @@
         loop.submit(work).syncUninterruptibly();
     }
 
+    /** At the port where it listened before, or at the next free one. */
     private Channel listen(int proxy) {
+        if (ports.get(proxy) > 0) {
+            return bind(proxy, ports.get(proxy)).syncUninterruptibly().channel();
+        }
+        for (int i = 0; i < PORTS; i++) {
+            int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
+            ChannelFuture bound = bind(proxy, port).awaitUninterruptibly();
+            if (bound.isSuccess()) {
+                return bound.channel();
+            }
+        }
+        throw new IllegalStateException("no port is free");
+    }
+
+    private ChannelFuture bind(int proxy, int port) {
         return new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -170,9 +197,7 @@
                         c.pipeline().addLast(new HttpRequestDecoder(), new Call(proxy, c));
                     }
                 })
-                .bind("127.0.0.1", ports.get(proxy))
-                .syncUninterruptibly()
-                .channel();
+                .bind("127.0.0.1", port);
     }
 
     private void beat() {
