--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -90,6 +90,11 @@
     interface Listener {
         void onListUpdate(ListUpdate listUpdate);
 
+        /** Part of a list that has broken off: servers that leave. It confirms nothing. */
+        default void onBrokenList(ListUpdate leaving) {
+            onListUpdate(leaving);
+        }
+
         void failed();
     }
 
@@ -222,9 +227,9 @@
     }
 
     /**
-     * Discovery is elsewhere now: it is called there at once, from the last version that was heard, also where
-     * the module has a pause before its next call: that is for the old address. The old watch counts until the
-     * new address has answered.
+     * Discovery is elsewhere now: it is called there at once, from the last version that was heard, also
+     * where the module has a pause before its next call: that is for the old address. The old watch counts
+     * until the new address has answered.
      */
     void move(InetSocketAddress to) {
         if (to.equals(address)) {
@@ -279,15 +284,15 @@
         call.open((int) connectMs(config.drainGraceNs()));
     }
 
-    /** In an outage every call fails to connect: of those in a row the first, second, fourth and so on count. */
+    /** In an outage every call fails to connect: of those in a row the first, second, fourth... count. */
     private DiscoveryCall newRecord() {
         boolean logged = Integer.bitCount(unconnected + 1) == 1;
         return new DiscoveryCall(++calls, address, version, logged);
     }
 
     /**
-     * A call in a long line looks like one to a machine that has vanished. But a machine that is there accepts
-     * connections, also where discovery has no time for calls.
+     * A call in a long line looks like one to a machine that has vanished. But a machine that is there
+     * accepts connections, also where discovery has no time for calls.
      */
     private void lookForLife() {
         if (watch != null && watch.address().equals(address)) {
@@ -343,6 +348,13 @@
         listener.onListUpdate(update);
     }
 
+    @Override
+    public void brokenOff(ListUpdate leaving) {
+        Log.line("a list of discovery has broken off; " + leaving.list().size() + " servers that it named as"
+                + " leaving are taken out");
+        listener.onBrokenList(leaving);
+    }
+
     /** What the old address says after a move is no sign that the list is that of the new one. */
     private void confirm(DiscoveryWatch by) {
         if (by.address().equals(address)) {
--- a/src/main/java/dewstage/proxy/DiscoveryWatch.java
+++ b/src/main/java/dewstage/proxy/DiscoveryWatch.java
@@ -28,8 +28,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * One call to discovery and the watch that its answer begins: JSON in a chunked answer. A list counts once its
- * end has come, however it is laid out. Everything happens on one event loop.
+ * One call to discovery and the watch that its answer begins: JSON in a chunked answer. A list counts once
+ * its end has come, however it is laid out. Everything happens on one event loop.
  */
 final class DiscoveryWatch extends SimpleChannelInboundHandler<HttpObject> {
     /** Why a watch has ended; OPEN as long as it has not. */
@@ -55,6 +55,9 @@
 
         void listed(DiscoveryWatch watch, Discovery.ListUpdate update);
 
+        /** A list has broken off; this is what of it counts all the same. */
+        void brokenOff(Discovery.ListUpdate leaving);
+
         /** Called once. */
         void ended(DiscoveryWatch watch, End end);
     }
@@ -166,10 +169,21 @@
             end = why;
             call.ended(reason);
             release();
+            breakOff();
             owner.ended(this, why);
         }
     }
 
+    /** What cannot be read or is too large is no list at all. */
+    private void breakOff() {
+        if (end == End.CLOSED_BY_PEER || end == End.SILENT) {
+            Discovery.ListUpdate leaving = lists.breakOff(version);
+            if (leaving != null) {
+                owner.brokenOff(leaving);
+            }
+        }
+    }
+
     private void release() {
         if (silence != null) {
             silence.cancel(false);
