--- /dev/null
+++ b/review/stand/Backend.java
@@ -0,0 +1,41 @@
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A backend: serves one request at a time on a connection and records what it got. */
+final class Backend {
+    /** Answers a request; the first one on a connection has the number 1. */
+    interface Service {
+        void answer(Socket socket, Stand.Message request, int number) throws Exception;
+    }
+
+    /** Called for each request once its last byte has come. */
+    interface Observer {
+        void onRequest(Backend backend, Stand.Message request);
+    }
+
+    final String id;
+    final int port;
+    final AtomicInteger connections = new AtomicInteger();
+
+    Backend(String id, Service service, Observer observer) throws IOException {
+        this.id = id;
+        this.port = Stand.listen(id, 0, socket -> {
+            connections.incrementAndGet();
+            for (int number = 1;; number++) {
+                Stand.Message request = Stand.read(socket.getInputStream());
+                if (request.header("request-id") == null) {
+                    Stand.write(socket, Stand.answer("404 Not Found", "", ""));
+                    continue;
+                }
+                observer.onRequest(this, request);
+                service.answer(socket, request, number);
+            }
+        }).getLocalPort();
+    }
+
+    /** The body that this backend makes for a request. */
+    String bodyFor(Stand.Message request) {
+        return "state of " + request.header("request-id") + " from " + id;
+    }
+}
