--- a/review/stand/Backend.java
+++ b/review/stand/Backend.java
@@ -1,6 +1,5 @@
 import java.io.IOException;
 import java.net.Socket;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /** A backend: serves one request at a time on a connection and records what it got. */
 final class Backend {
@@ -16,12 +15,10 @@
 
     final String id;
     final int port;
-    final AtomicInteger connections = new AtomicInteger();
 
     Backend(String id, Service service, Observer observer) throws IOException {
         this.id = id;
         this.port = Stand.listen(id, 0, socket -> {
-            connections.incrementAndGet();
             for (int number = 1;; number++) {
                 Stand.Message request = Stand.read(socket.getInputStream());
                 if (request.header("request-id") == null) {
@@ -33,9 +30,4 @@
             }
         }).getLocalPort();
     }
-
-    /** The body that this backend makes for a request. */
-    String bodyFor(Stand.Message request) {
-        return "state of " + request.header("request-id") + " from " + id;
-    }
 }
--- a/review/stand/SecondAnswer.java
+++ b/review/stand/SecondAnswer.java
@@ -15,7 +15,7 @@
     private static final long RUN_MS = 25_000;
     /** The share of the answers of that one backend that come twice, and how much later. */
     private static final double SPOILT_SHARE = 0.1;
-    private static final long SECOND_AFTER_MS = Long.getLong("second.ms", 12);
+    private static final long SECOND_AFTER_MS = 12;
 
     private static final AtomicBoolean STOP = new AtomicBoolean();
     private static final AtomicInteger SECOND_ANSWERS = new AtomicInteger();
--- a/review/stand/Stand.java
+++ b/review/stand/Stand.java
@@ -14,7 +14,6 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -281,7 +280,6 @@
         final Path folder;
         final Path configFile;
         private Process process;
-        private Thread killer;
 
         Proxy(String name, Path folder) throws IOException {
             this.name = name;
@@ -306,8 +304,7 @@
             File log = folder.resolve(name + ".log").toFile();
             process = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log))
                     .redirectInput(ProcessBuilder.Redirect.from(new File("/dev/null"))).start();
-            killer = new Thread(process::destroyForcibly);
-            Runtime.getRuntime().addShutdownHook(killer);
+            Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
             Files.writeString(folder.resolve("pids"), process.pid() + "\n", StandardOpenOption.CREATE,
                     StandardOpenOption.APPEND);
             record("proxy " + name + " started, process " + process.pid());
@@ -352,8 +349,4 @@
     static Path temporaryFolder() {
         return Path.of(System.getenv("CASE_TMP"));
     }
-
-    static List<String> entries(String... entries) {
-        return new ArrayList<>(List.of(entries));
-    }
 }
