--- a/review/stand/SecondAnswer.java
+++ b/review/stand/SecondAnswer.java
@@ -32,17 +32,17 @@
     }
 
     private static void run() throws Exception {
-        Discovery.Members members = new Discovery.Members();
+        List<String> entries = new ArrayList<>();
         for (int i = 0; i < BACKENDS; i++) {
             boolean isSpoilt = Stand.TROUBLE && i == 0;
             Backend backend = new Backend("s-" + i, (socket, request, number) -> serve(socket, request, isSpoilt),
                     (b, request) -> Stand.recordAt(request.lastByteNs, b.id + " got " + request.header("request-id")));
-            members.put(backend.id, Stand.entry(backend.id, backend.port, "port-of-spain", 0, "in_service"));
+            entries.add(Stand.entry(backend.id, backend.port, "port-of-spain", 0, "in_service"));
         }
-        Discovery discovery = new Discovery("discovery", members, 250, 2000);
+        Discovery discovery = new Discovery(entries);
         Stand.Proxy proxy = new Stand.Proxy("n0", Stand.temporaryFolder());
         proxy.configure(Stand.config(proxy.name, 0, 4, proxy.port, discovery.port, 192, 1024, "on_request",
-                members.whole()));
+                discovery.list()));
         proxy.start(discovery.port);
         if (!proxy.awaitReady(30)) {
             Stand.exit(2, "the proxy did not become ready");
--- a/review/stand/Stand.java
+++ b/review/stand/Stand.java
@@ -279,6 +279,8 @@
         final int port = freePort();
         final Path folder;
         final Path configFile;
+        final Map<String, String> environment = new LinkedHashMap<>();
+        volatile boolean readsLog = true;
         private Process process;
 
         Proxy(String name, Path folder) throws IOException {
@@ -301,15 +303,29 @@
             builder.environment().put("NODE_DISCOVERY", "127.0.0.1:" + discoveryPort);
             builder.environment().put("NODE_CONFIG", configFile.toString());
             builder.environment().put("TMPDIR", folder.toString());
-            File log = folder.resolve(name + ".log").toFile();
-            process = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+            builder.environment().putAll(environment);
+            process = builder.redirectErrorStream(true)
                     .redirectInput(ProcessBuilder.Redirect.from(new File("/dev/null"))).start();
+            Stand.start("log of " + name, this::copyLog);
             Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
             Files.writeString(folder.resolve("pids"), process.pid() + "\n", StandardOpenOption.CREATE,
                     StandardOpenOption.APPEND);
             record("proxy " + name + " started, process " + process.pid());
         }
 
+        /** Copies what the proxy logs to a file; while it is not read, what was written stays in the pipe. */
+        private void copyLog() throws IOException {
+            try (OutputStream log = Files.newOutputStream(folder.resolve(name + ".log"))) {
+                byte[] bytes = new byte[8192];
+                for (int n = process.getInputStream().read(bytes); n >= 0; n = process.getInputStream().read(bytes)) {
+                    log.write(bytes, 0, n);
+                    while (!readsLog) {
+                        sleepMs(100);
+                    }
+                }
+            }
+        }
+
         boolean isAlive() {
             return process.isAlive();
         }
