Give requests, responses and the member list their own shares of the heap

Within 2 s nothing was answered any more; the system went on accepting connections.

Candidates and what excludes them: - descriptors: 336 of 576 slots in use, no line on evicted or closed connections; - direct memory (16 MB): the error is "Java heap space", the native part of the process does not grow (80.2 MB idle, 80.8 MB stopped); - a leak: idle live heap is 4.4 MB and comes back with no clients (3.9 to 5.4 MB with 560 connections open); - heap taken by the bodies of unfinished requests: confirmed. Class histogram 4 s after the start of the trouble: 19.0 MB of byte[] (1.7 MB before) in a heap of 21 MB; the log of the collector shows full collections back to back, 21M->21M(21M), up to the error.

Cause: Sockets divides the descriptors, and nothing divided the memory. ClientConnection kept up to 64 KiB (and as much again to copy it) for each of up to 576 connections; the same holds for pipelined requests (16 for each connection), heads (short header lines need some 30 times their length), responses of backends, and responses that a client does not read, of which any number could wait on one connection.

Change: - HeapShares divides what the base and the connections leave: half for the list, a fifth for requests, a tenth for responses; the list's share was two thirds. - MemoryShare adds up what holders report. Beyond the share of requests the partial one that has been silent longest is answered 503 at once; if there is none, the request that went beyond it. Behind such an answer the connection is read on until the client closes, so no reset takes the answer away. - Beyond the share of responses only the one that began first is read (ResponseMemory); TCP holds back the others. - The next request of a connection waits until the last response has been taken; a response not taken for 3.5 s closes the connection. - Buffers of connections are on the heap, so the shares cover them, and a connection reads at most 8 KiB at a time. - A body of known length fills its buffer, so it isn't copied; a request is dropped once it has been written.

--- a/src/main/java/dewstage/proxy/Backends.java
+++ b/src/main/java/dewstage/proxy/Backends.java
@@ -105,6 +105,7 @@
     private final Transport transport;
     private final Clock clock;
     private final Sockets.Share sockets;
+    private final ResponseMemory responseMemory;
     private final long connectTimeoutNs;
     private final long keepAliveNs;
     private final long drainGraceNs;
@@ -114,8 +115,9 @@
     private final Set<Connection> idleByAge = new LinkedHashSet<>();
 
     /** {@code listedById} returns the current list entry of a server, or null if it is not listed. */
-    Backends(EventLoop loop, Clock clock, Sockets.Share sockets, Config config, Transport transport,
-            IntFunction<Discovery.ListedBackend> listedById) {
+    Backends(EventLoop loop, Clock clock, Sockets.Share sockets, ResponseMemory responseMemory, Config config,
+            Transport transport, IntFunction<Discovery.ListedBackend> listedById) {
+        this.responseMemory = responseMemory;
         this.listedById = listedById;
         this.transport = transport;
         this.loop = loop;
@@ -295,6 +297,8 @@
         Connection newConnection = new Connection(attempt.backend);
         ChannelFuture connectFuture = transport.to(attempt.backend.address)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNs / 1_000_000))
+                .option(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, HeapBuffers.readSizes())
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -330,7 +334,8 @@
     final class Attempt {
         final long startedAt = clock.now();
         private final Backend backend;
-        private final ClientRequest request;
+        /** Null once it has been passed to a connection, so that its body can be collected. */
+        private ClientRequest request;
         private final long deadline;
         private final BooleanSupplier stillWanted;
         private final Listener listener;
@@ -394,15 +399,17 @@
             if (request.body().length > 0 || !request.method().equals(HttpMethod.GET)) {
                 HttpUtil.setContentLength(message, request.body().length);
             }
+            request = null;
             return message;
         }
     }
 
     /** A connection to a backend, which carries one attempt at a time. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject>
-            implements ResponseDecoder.Listener {
+            implements ResponseDecoder.Listener, ResponseMemory.Reader {
         private final Backend backend;
         private final ResponseDecoder decoder = new ResponseDecoder(this);
+        private final ResponseMemory.Response memory = responseMemory.newResponse(this);
         private Channel channel;
         private long idleSince;
         private Attempt current;
@@ -430,7 +437,6 @@
             interimCount = 0;
             responseComplete = false;
             hasTrailingBytes = false;
-            body = Unpooled.buffer(512, MAX_BODY_BYTES);
             decoder.expectResponse();
             channel.writeAndFlush(attempt.toHttpRequest()).addListener(f -> {
                 if (f.isSuccess()) {
@@ -455,6 +461,7 @@
                     failConnection();
                     return;
                 }
+                body = isInterim ? Unpooled.EMPTY_BUFFER : HeapBuffers.newBody(response);
             }
             if (message instanceof HttpContent content) {
                 if (content.content().readableBytes() > body.maxWritableBytes()) {
@@ -471,6 +478,18 @@
                     decoder.responseComplete();
                 }
             }
+            updateMemory();
+        }
+
+        private void updateMemory() {
+            if (current != null) {
+                memory.update(decoder.heldBytes() + (body == null ? 0 : body.capacity()));
+            }
+        }
+
+        @Override
+        public void setReading(boolean on) {
+            channel.config().setAutoRead(on);
         }
 
         @Override
@@ -495,14 +514,17 @@
         public void channelReadComplete(ChannelHandlerContext ctx) {
             if (responseComplete && current != null) {
                 onResponseComplete();
+            } else {
+                updateMemory(); // also where not even a head is complete
             }
         }
 
         private void onResponseComplete() {
             Attempt attempt = current;
-            byte[] bytes = new byte[body.readableBytes()];
-            body.readBytes(bytes);
+            byte[] bytes = HeapBuffers.toBytes(body);
             current = null;
+            body = null;
+            memory.end();
             decoder.expectNothing();
             if (attempt.requestWritten && !hasTrailingBytes && HttpUtil.isKeepAlive(head)
                     && backend.outOfServiceSince == 0) {
@@ -524,6 +546,8 @@
         private void failConnection() {
             Attempt attempt = current;
             current = null;
+            body = null;
+            memory.end();
             decoder.expectNothing();
             removeFromIdle(this);
             if (attempt != null) {
--- a/src/main/java/dewstage/proxy/ClientConnection.java
+++ b/src/main/java/dewstage/proxy/ClientConnection.java
@@ -32,6 +32,15 @@
     interface Owner {
         void onRequest(ClientConnection client, ClientRequest request, long arrivedAt);
 
+        /** Part of a request has been received; the rest of it is missing. */
+        void onPartialRequest(ClientConnection client);
+
+        /** The partial request is complete, or has been discarded. */
+        void onPartialRequestEnded(ClientConnection client);
+
+        /** The requests of all clients use more memory than they may; this client has just sent some. */
+        void onRequestMemoryExceeded(ClientConnection client);
+
         /** Called before a response is written; returns true to close the connection after it. */
         boolean onResponse(ClientConnection client, int status);
 
@@ -45,18 +54,30 @@
 
     /** Maximum number of queued requests per connection: enough for clients that pipeline. */
     static final int MAX_PIPELINED_REQUESTS = 16;
+    private static final int REFUSED_STATUS = 503;
+    private static final String REFUSED_TEXT = "too many requests in memory, try again";
 
-    /** A complete request, or the error response to an invalid one, after which nothing is read. */
-    private record QueuedRequest(ClientRequest request, int status, String error, long arrivedAt,
-            boolean keepAlive) { }
+    /** A complete request with the memory it uses, or the error response to one that is not handled. */
+    private record QueuedRequest(ClientRequest request, long bytes, int status, String error, long arrivedAt,
+            boolean keepAlive) {
+        static QueuedRequest error(int status, String error, long arrivedAt, boolean keepAlive) {
+            return new QueuedRequest(null, 0, status, error, arrivedAt, keepAlive);
+        }
+    }
 
     final long connectedAt;
     private final Channel channel;
     private final RequestDecoder decoder;
     private final Owner owner;
+    private final MemoryShare.Usage requestMemory;
+    private final MemoryShare.Usage responseMemory;
     private final Deque<QueuedRequest> queue = new ArrayDeque<>();
     private HttpRequest requestHead;
     private ByteBuf body;
+    /** Memory of all queued requests. */
+    private long queuedBytes;
+    /** Memory of the request that is being handled. */
+    private long openRequestBytes;
     private ClientRequest acceptedRequest;
     /** A request is being handled and has no response yet. */
     private boolean busy;
@@ -70,7 +91,10 @@
     private long idleSince;
     private long closingSince;
 
-    ClientConnection(Channel channel, RequestDecoder decoder, Owner owner) {
+    ClientConnection(Channel channel, RequestDecoder decoder, MemoryShare.Usage requestMemory,
+            MemoryShare.Usage responseMemory, Owner owner) {
+        this.requestMemory = requestMemory;
+        this.responseMemory = responseMemory;
         this.channel = channel;
         this.decoder = decoder;
         this.owner = owner;
@@ -128,9 +152,7 @@
         if (closing) {
             return;
         }
-        closing = true;
-        closingSince = owner.now();
-        decoder.discardInput();
+        stopReading(owner.now());
         halfClose();
     }
 
@@ -147,13 +169,15 @@
     }
 
     /** Closes the connection if its request, its client's close or its next request is overdue. */
-    void closeIfTimedOut(long now, long requestTimeoutNs, long idleTimeoutNs) {
+    void closeIfTimedOut(long now, long requestTimeoutNs, long responseTimeoutNs, long idleTimeoutNs) {
         if (closing) {
             if (now - closingSince > requestTimeoutNs && !busy) {
                 channel.close(); // the client has not closed its side in time
             }
         } else if (hasPartialRequest() && now - partialSince > requestTimeoutNs) {
             rejectAndClose(408, "the request did not come in time");
+        } else if (responseInFlight && now - idleSince > responseTimeoutNs) {
+            channel.close(); // the client does not read its response
         } else if (isIdle() && now - idleSince > (used ? idleTimeoutNs : requestTimeoutNs)) {
             closeGracefully();
         }
@@ -180,15 +204,59 @@
             body.writeBytes(content.content());
         }
         if (message instanceof LastHttpContent) {
-            byte[] bytes = new byte[body.readableBytes()];
-            body.readBytes(bytes);
+            byte[] bytes = HeapBuffers.toBytes(body);
             enqueue(new QueuedRequest(
                     new ClientRequest(requestHead.method(), requestHead.uri(), requestHead.headers(), bytes),
-                    0, null, owner.earliestArrival(), HttpUtil.isKeepAlive(requestHead)));
+                    decoder.headBytes() + bytes.length, 0, null, owner.earliestArrival(),
+                    HttpUtil.isKeepAlive(requestHead)));
             requestHead = null;
             body = null;
             decoder.requestComplete();
         }
+        if (message instanceof HttpContent) {
+            onRequestBytes(); // behind a head alone the rest may have been read already
+        }
+    }
+
+    /** Reports received bytes of requests; their memory may have to be freed at once. */
+    private void onRequestBytes() {
+        if (closing) {
+            return;
+        }
+        if (decoder.inRequest()) {
+            owner.onPartialRequest(this);
+        } else {
+            owner.onPartialRequestEnded(this);
+        }
+        if (updateRequestMemory()) {
+            owner.onRequestMemoryExceeded(this);
+        }
+    }
+
+    /** Returns whether the share of all requests is exceeded. */
+    private boolean updateRequestMemory() {
+        long partialBytes = closing ? 0
+                : decoder.headBytes() + decoder.undecodedBytes() + (body == null ? 0 : body.capacity());
+        requestMemory.set(partialBytes + queuedBytes + openRequestBytes + decoder.retainedBytes());
+        return requestMemory.isShareExceeded();
+    }
+
+    /** Answers the partial request without waiting for the rest of it. */
+    void refusePartialRequest() {
+        rejectAndClose(REFUSED_STATUS, REFUSED_TEXT);
+    }
+
+    /** Answers the last queued request without handling it; returns false if there is none. */
+    boolean refuseNewestRequest() {
+        if (queue.isEmpty() || queue.peekLast().error() != null) {
+            return false;
+        }
+        QueuedRequest refused = queue.pollLast();
+        queuedBytes -= refused.bytes();
+        queue.add(QueuedRequest.error(REFUSED_STATUS, REFUSED_TEXT, refused.arrivedAt(),
+                refused.keepAlive()));
+        updateRequestMemory();
+        return true;
     }
 
     /** Handles the head of a request; returns false if the request is rejected. */
@@ -207,7 +275,7 @@
                         HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
             requestHead = receivedHead;
-            body = Unpooled.buffer(256, Backends.MAX_BODY_BYTES);
+            body = HeapBuffers.newBody(receivedHead);
             return true;
         }
         return false;
@@ -216,31 +284,45 @@
     private void enqueue(QueuedRequest item) {
         if (queue.size() < MAX_PIPELINED_REQUESTS) {
             queue.add(item);
+            queuedBytes += item.bytes();
         } else {
             // Ordinary clients do not pipeline this many requests. None of the queued ones has been sent to a
             // backend, and their deadlines would expire in the queue.
-            queue.clear();
+            clearQueue();
             rejectAndClose(429, "too many requests at once on a connection");
         }
     }
 
     /** Queues an error response behind the queued requests; the connection is closed after it. */
     private void rejectAndClose(int status, String error) {
+        stopReading(owner.now());
+        queue.add(QueuedRequest.error(status, error, closingSince, false));
+        updateRequestMemory();
+        if (!busy) {
+            channel.eventLoop().execute(this::handleNext);
+        }
+    }
+
+    /** Discards the partial request and all further input. */
+    private void stopReading(long now) {
         closing = true;
-        closingSince = owner.now();
+        closingSince = now;
         decoder.discardInput();
         requestHead = null;
         body = null;
         partialSince = 0;
-        queue.add(new QueuedRequest(null, status, error, closingSince, false));
-        if (!busy) {
-            channel.eventLoop().execute(this::handleNext);
-        }
+        owner.onPartialRequestEnded(this);
+    }
+
+    private void clearQueue() {
+        queue.clear();
+        queuedBytes = 0;
     }
 
     /** Starts the next request only after all received requests have been queued and counted. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        onRequestBytes(); // also where not even a head is complete
         if (!closing && decoder.inRequest()) {
             // The timeout of a connection's first request runs from the accept, however slowly it is sent.
             partialSince = hasPartialRequest() ? partialSince : used || busy ? owner.now() : connectedAt;
@@ -251,8 +333,11 @@
     }
 
     private void handleNext() {
-        while (!busy && !queue.isEmpty() && channel.isActive()) {
+        // The previous response must have been taken: responses to a client that reads none would add up.
+        while (!busy && !responseInFlight && !queue.isEmpty() && channel.isActive()) {
             QueuedRequest item = queue.poll();
+            queuedBytes -= item.bytes();
+            openRequestBytes = item.bytes();
             busy = true;
             keepAlive = item.keepAlive();
             if (item.error() == null) {
@@ -272,31 +357,36 @@
         }
         HttpUtil.setContentLength(response, content.length);
         busy = false;
+        openRequestBytes = 0;
         used |= acceptedRequest != null || status == 200;
         idleSince = owner.now();
-        boolean wasAccepted = acceptedRequest != null;
-        boolean closeAfterResponse = owner.onResponse(this, status) && queue.isEmpty() || !keepAlive;
+        boolean retainsMemory = decoder.retainedBytes() > 0;
+        // A client that sent no valid request may never close its side.
+        boolean awaitsClientClose =
+                acceptedRequest != null || status == REFUSED_STATUS && !retainsMemory;
+        boolean freesMemory = retainsMemory && requestMemory.isShareHalfUsed();
+        boolean closeAfterResponse =
+                (owner.onResponse(this, status) || freesMemory) && queue.isEmpty() || !keepAlive;
         acceptedRequest = null;
         if (closeAfterResponse) {
             response.headers().set(HttpHeaderNames.CONNECTION, "close");
-            closing = true;
-            closingSince = idleSince;
-            decoder.discardInput();
+            stopReading(idleSince);
+            clearQueue();
         }
+        updateRequestMemory();
         responseInFlight = true;
+        responseMemory.set(content.length);
         channel.writeAndFlush(response).addListener(future -> {
             responseInFlight = false;
-            if (closeAfterResponse && wasAccepted && future.isSuccess()) {
+            responseMemory.set(0);
+            if (closeAfterResponse && awaitsClientClose && future.isSuccess()) {
                 halfClose();
             } else if (closeAfterResponse || !future.isSuccess()) {
-                channel.close(); // a client that sent no valid request may never close its side
+                channel.close();
+            } else if (!queue.isEmpty()) {
+                channel.eventLoop().execute(this::handleNext);
             }
         });
-        if (closeAfterResponse) {
-            queue.clear();
-        } else if (!queue.isEmpty()) {
-            channel.eventLoop().execute(this::handleNext);
-        }
     }
 
     void respond(int status, HttpHeaders headers, String text) {
@@ -306,7 +396,11 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         busy = false;
-        queue.clear();
+        body = null;
+        clearQueue();
+        openRequestBytes = 0;
+        requestMemory.set(0);
+        responseMemory.set(0);
         owner.onClosed(this);
         acceptedRequest = null;
     }
--- a/src/main/java/dewstage/proxy/ClientConnectionStats.java
+++ b/src/main/java/dewstage/proxy/ClientConnectionStats.java
@@ -3,7 +3,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Counts client connections that are rejected or evicted because all slots are taken. Without these counts,
+ * Counts client connections that are rejected or evicted because all slots are taken, and requests that are
+ * refused for lack of memory. Without these counts,
  * clients that are disconnected before their first byte is read would leave no trace.
  */
 final class ClientConnectionStats {
@@ -11,6 +12,9 @@
     /** Closed on accept: the connections in all slots had a request open. */
     int rejected;
     int acceptedRequests;
+    /** Refused because the memory for requests was used up: requests that were not complete, and others. */
+    int refusedPartialRequests;
+    int refusedRequests;
     private int evictedUnused;
     private int evictedIdle;
     private long minUnusedAgeNs = Long.MAX_VALUE;
@@ -25,7 +29,7 @@
         }
     }
 
-    /** Logs one line if slots ran out since the last call, and resets all counts. */
+    /** Logs one line for each limit that was reached since the last call, and resets all counts. */
     void logAndReset() {
         if (rejected + evictedUnused + evictedIdle > 0) {
             String minUnusedAge = evictedUnused == 0 ? ""
@@ -34,7 +38,13 @@
                     + " closed immediately; evicted: " + evictedUnused + " without a request" + minUnusedAge
                     + ", " + evictedIdle + " idle; requests accepted: " + acceptedRequests);
         }
+        if (refusedPartialRequests + refusedRequests > 0) {
+            Log.line("request memory limit reached: refused " + refusedPartialRequests + " partial and "
+                    + refusedRequests + " complete requests; requests accepted: " + acceptedRequests);
+        }
         accepted = 0;
+        refusedPartialRequests = 0;
+        refusedRequests = 0;
         rejected = 0;
         acceptedRequests = 0;
         evictedUnused = 0;
--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -146,7 +146,8 @@
     private long confirmedAtNs;
 
     Discovery(EventLoop loop, Config config, Listener listener) {
-        this(loop, config, listener, STALL_TIMEOUT_MS, Membership.defaultMaxBytes());
+        this(loop, config, listener, STALL_TIMEOUT_MS,
+                HeapShares.ofThisProcess(config.sockets()).listBytes());
     }
 
     /**
--- a/src/main/java/dewstage/proxy/DiscoveryWatch.java
+++ b/src/main/java/dewstage/proxy/DiscoveryWatch.java
@@ -109,6 +109,7 @@
     void open(int connectTimeoutMs) {
         ChannelFuture connect = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+                .option(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -3,7 +3,6 @@
 import dewstage.Balancer.Effect;
 import dewstage.Balancer.Profile;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -41,6 +40,11 @@
     private static final long REQUEST_TIMEOUT_NS = 1_800_000_000L;
     /** Time within which a client that intends to send a request sends its first bytes. */
     private static final long FIRST_BYTES_TIMEOUT_NS = 250_000_000L;
+    /**
+     * Maximum time for a client's socket to take a response: the longest timeout of requests, and half a
+     * second after which a response is lost.
+     */
+    private static final long RESPONSE_TIMEOUT_NS = 3_500_000_000L;
     /** Maximum idle time between requests; ordinary clients send their next request sooner. */
     private static final long IDLE_TIMEOUT_NS = 5_000_000_000L;
     /** Maximum reads of a client's socket per iteration of the event loop. */
@@ -52,12 +56,16 @@
     private final Config config;
     private final Clock clock;
     private final Sockets.Share sockets;
+    private final MemoryShare requestMemory;
+    private final MemoryShare responseMemory;
     private final RequestHandler requestHandler;
     private final RequestIds ids = new RequestIds();
     /** Connections without a valid request so far, the oldest first. */
     private final Set<ClientConnection> unusedClients = new LinkedHashSet<>();
     /** The other connections, the least recently used first. */
     private final Set<ClientConnection> usedClients = new LinkedHashSet<>();
+    /** Connections with a partial request, the one that has been silent longest first. */
+    private final Set<ClientConnection> partialRequests = new LinkedHashSet<>();
     /** Invalid requests by response status. Counted, since clients could flood a log line per request. */
     private final Map<Integer, Integer> rejectedByStatus = new TreeMap<>();
     private final ClientConnectionStats connectionStats = new ClientConnectionStats();
@@ -65,7 +73,10 @@
     private Channel listener;
     private boolean draining;
 
-    Frontend(Config config, Clock clock, LoopLag lag, Sockets.Share sockets, RequestHandler requestHandler) {
+    Frontend(Config config, Clock clock, LoopLag lag, Sockets.Share sockets, MemoryShare requestMemory,
+            MemoryShare responseMemory, RequestHandler requestHandler) {
+        this.requestMemory = requestMemory;
+        this.responseMemory = responseMemory;
         this.config = config;
         this.clock = clock;
         this.lag = lag;
@@ -80,7 +91,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // Reads until the socket is empty: after a first short read a close could remain unread.
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator()
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, HeapBuffers.readSizes()
                         .respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_LOOP))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -108,8 +119,10 @@
             return;
         }
         channel.closeFuture().addListener(f -> sockets.release());
+        channel.config().setAllocator(HeapBuffers.ALLOCATOR);
         RequestDecoder decoder = new RequestDecoder();
-        ClientConnection client = new ClientConnection(channel, decoder, this);
+        ClientConnection client = new ClientConnection(channel, decoder, requestMemory.new Usage(),
+                responseMemory.new Usage(), this);
         channel.pipeline().addLast(decoder, new HttpResponseEncoder(), client);
         unusedClients.add(client);
     }
@@ -117,7 +130,8 @@
     private void closeTimedOut() {
         long now = clock.now();
         Stream.concat(unusedClients.stream(), usedClients.stream()).toList()
-                .forEach(c -> c.closeIfTimedOut(now, REQUEST_TIMEOUT_NS, IDLE_TIMEOUT_NS));
+                .forEach(c -> c.closeIfTimedOut(now, REQUEST_TIMEOUT_NS, RESPONSE_TIMEOUT_NS,
+                        IDLE_TIMEOUT_NS));
     }
 
     private void logStats() {
@@ -221,6 +235,34 @@
         }
     }
 
+    @Override
+    public void onPartialRequest(ClientConnection client) {
+        partialRequests.remove(client);
+        partialRequests.add(client); // moves it to the end
+    }
+
+    @Override
+    public void onPartialRequestEnded(ClientConnection client) {
+        partialRequests.remove(client);
+    }
+
+    /**
+     * Refuses partial requests, the one that has been silent longest first: its client is the least likely to
+     * send the rest. If complete requests alone use all the memory, the newest one is refused.
+     */
+    @Override
+    public void onRequestMemoryExceeded(ClientConnection client) {
+        while (requestMemory.isExceeded() && !partialRequests.isEmpty()) {
+            ClientConnection longestSilent = partialRequests.iterator().next();
+            partialRequests.remove(longestSilent);
+            connectionStats.refusedPartialRequests++;
+            longestSilent.refusePartialRequest();
+        }
+        if (requestMemory.isExceeded() && client.refuseNewestRequest()) {
+            connectionStats.refusedRequests++;
+        }
+    }
+
     @Override
     public boolean onResponse(ClientConnection client, int status) {
         if (client.acceptedRequest() != null) {
@@ -238,6 +280,7 @@
     public void onClosed(ClientConnection client) {
         unusedClients.remove(client);
         usedClients.remove(client);
+        partialRequests.remove(client);
         if (client.acceptedRequest() != null) {
             ids.close(client.acceptedRequest().id());
             requestHandler.onClientGone(client);
--- a/src/main/java/dewstage/proxy/Membership.java
+++ b/src/main/java/dewstage/proxy/Membership.java
@@ -40,9 +40,6 @@
      */
     private static final int MODULE_BYTES = 300;
 
-    /** Memory of a proxy besides its list: twice the 3.8 MB with one entry and no requests. */
-    private static final long BASE_BYTES = 8 << 20;
-
     private final long maxBytes;
     private Entries entries = new Entries();
     private int listCount;
@@ -57,14 +54,6 @@
         this.maxBytes = maxBytes;
     }
 
-    /**
-     * Two thirds of the heap that the rest of the proxy does not need: deploy/serve.sh reserves two fifths of
-     * the heap for the young generation, and all long-lived objects must fit into the other three.
-     */
-    static long defaultMaxBytes() {
-        return Math.max(0, Runtime.getRuntime().maxMemory() - BASE_BYTES) * 2 / 3;
-    }
-
     /** Returns the entry with this number, or null. */
     Entry get(int number) {
         return entries.get(number);
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -78,7 +78,8 @@
     private static final class Exchange {
         final int ticket;
         final ClientConnection client;
-        final ClientRequest request;
+        /** Null once the exchange is completed, so that its body can be collected. */
+        ClientRequest request;
         /** When the module must have completed the request. */
         final long moduleDeadline;
         /** When the client's timeout expires. */
@@ -127,22 +128,26 @@
     Proxy(Config config, EventLoop loop, Balancer.Factory factory, Backends.Transport transport,
             boolean watchesDiscovery, Clock clock) {
         this(config, loop, factory, transport, watchesDiscovery, clock,
-                new ListFreshness(config.drainGraceNs(), config.settings().askWithinNs()));
+                new ListFreshness(config.drainGraceNs(), config.settings().askWithinNs()),
+                HeapShares.ofThisProcess(config.sockets()));
     }
 
     /** {@code freshness} decides how long the list is reliable; Discovery updates it. */
     private Proxy(Config config, EventLoop loop, Balancer.Factory factory, Backends.Transport transport,
-            boolean watchesDiscovery, Clock clock, ListFreshness freshness) {
+            boolean watchesDiscovery, Clock clock, ListFreshness freshness, HeapShares heapShares) {
         this.freshness = freshness;
         this.config = config;
         this.clock = clock;
         this.watchesDiscovery = watchesDiscovery;
         this.loop = loop;
         Sockets sockets = new Sockets(config.sockets());
-        this.frontend = new Frontend(config, clock, lag, sockets.clients, this);
+        MemoryShare responseMemory = new MemoryShare(heapShares.responseBytes());
+        this.frontend = new Frontend(config, clock, lag, sockets.clients,
+                new MemoryShare(heapShares.requestBytes()), responseMemory, this);
         this.discovery = new Discovery(loop, config, this, Discovery.STALL_TIMEOUT_MS,
-                Membership.defaultMaxBytes(), freshness);
-        this.backends = new Backends(loop, clock, sockets.backends, config, transport, discovery::find);
+                heapShares.listBytes(), freshness);
+        this.backends = new Backends(loop, clock, sockets.backends, new ResponseMemory(responseMemory),
+                config, transport, discovery::find);
         this.balancer = factory.create(config.settings(), config.seed(), clock.now(), this);
     }
 
@@ -211,14 +216,16 @@
     static Proxy start(Config config, EventLoop loop, Balancer.Factory factory, Clock clock)
             throws IOException {
         return start(config, loop, factory, clock,
-                new ListFreshness(config.drainGraceNs(), config.settings().askWithinNs()));
+                new ListFreshness(config.drainGraceNs(), config.settings().askWithinNs()),
+                HeapShares.ofThisProcess(config.sockets()));
     }
 
     static Proxy start(Config config, EventLoop loop, Balancer.Factory factory, Clock clock,
-            ListFreshness freshness) throws IOException {
+            ListFreshness freshness, HeapShares heapShares) throws IOException {
         try {
             return loop.submit(() -> {
-                Proxy proxy = new Proxy(config, loop, factory, Backends.tcp(loop), true, clock, freshness);
+                Proxy proxy = new Proxy(config, loop, factory, Backends.tcp(loop), true, clock, freshness,
+                        heapShares);
                 proxy.startServing();
                 return proxy;
             }).get().awaitListening();
@@ -481,6 +488,7 @@
 
     private void complete(Exchange exchange) {
         exchange.completed = true;
+        exchange.request = null;
         lastCompletedAt = clock.now();
         exchange.backstopTimer.cancel(false);
         exchangesByClient.remove(exchange.client);
--- a/src/main/java/dewstage/proxy/ResponseDecoder.java
+++ b/src/main/java/dewstage/proxy/ResponseDecoder.java
@@ -29,6 +29,7 @@
     private enum Expected { NOTHING, RESPONSE_START, RESPONSE_REMAINDER, AFTER_RESPONSE }
 
     private final Listener listener;
+    private final HeadMemory headMemory = new HeadMemory();
     private Expected expected = Expected.NOTHING;
 
     ResponseDecoder(Listener listener) {
@@ -40,6 +41,7 @@
     /** Expects a response: to the request that is being written, or after an interim response. */
     void expectResponse() {
         expected = Expected.RESPONSE_START;
+        headMemory.reset();
     }
 
     /** The final response is complete: further bytes of the same read are trailing bytes. */
@@ -52,6 +54,20 @@
         expected = Expected.NOTHING;
     }
 
+    /** Heap of the current head and of the bytes that have been read and not yet decoded. */
+    long heldBytes() {
+        return headMemory.bytes() + internalBuffer().capacity();
+    }
+
+    private void decodeResponse(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        int readableBefore = in.readableBytes();
+        super.decode(ctx, in, out);
+        headMemory.onConsumed(readableBefore - in.readableBytes());
+        if (!out.isEmpty()) {
+            headMemory.onComplete();
+        }
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
         switch (expected) {
@@ -71,10 +87,10 @@
                     listener.onUnexpectedBytes();
                 } else if (in.readableBytes() >= RESPONSE_PREFIX.length) {
                     expected = Expected.RESPONSE_REMAINDER;
-                    super.decode(ctx, in, out);
+                    decodeResponse(ctx, in, out);
                 }
             }
-            default -> super.decode(ctx, in, out);
+            default -> decodeResponse(ctx, in, out);
         }
     }
 
@@ -82,6 +98,7 @@
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
         checkColon(line, start + length);
+        headMemory.onHeader();
         return super.splitHeaderName(line, start, length);
     }
 
--- a/src/test/java/dewstage/proxy/BackendsTest.java
+++ b/src/test/java/dewstage/proxy/BackendsTest.java
@@ -27,6 +27,8 @@
 
 /** How responses and failures of backends are handled, and what outcome the module receives. */
 class BackendsTest extends LoopbackTest {
+    /** One read of 8 KiB, in buffers that are at most twice as large, and the head. */
+    private static final long MAX_BYTES_OF_A_PAUSED_RESPONSE = 32 << 10;
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
 
     /** Sends a client request that the module sends on to the backend. */
@@ -374,9 +376,14 @@
     }
 
     private Backends newBackends(int sockets) throws Exception {
+        return newBackends(sockets, new MemoryShare(Long.MAX_VALUE));
+    }
+
+    private Backends newBackends(int sockets, MemoryShare responses) throws Exception {
         Config config = Setup.config(discovery, backend);
         return setup.loop.submit(() -> new Backends(setup.loop, setup.clock, new Sockets(sockets).backends,
-                config, Backends.tcp(setup.loop), id -> listEntry(id, State.READY))).get();
+                new ResponseMemory(responses), config, Backends.tcp(setup.loop),
+                id -> listEntry(id, State.READY))).get();
     }
 
     private Discovery.ListedBackend listEntry(int id, State state) {
@@ -420,6 +427,50 @@
         assertEquals(1, trackedCount(backends), "the second connection is still idle");
     }
 
+    /** Many long responses at once once used up the heap: nothing limited what was read of them. */
+    @Test
+    void longResponsesBeyondTheMemoryLimitWaitInTheirSockets() throws Exception {
+        int attempts = 24;
+        long limitBytes = 3L * Backends.MAX_BODY_BYTES;
+        long maxOvershootBytes = attempts * MAX_BYTES_OF_A_PAUSED_RESPONSE + Backends.MAX_BODY_BYTES;
+        MemoryShare responses = new MemoryShare(limitBytes);
+        Backends backends = newBackends(1024, responses);
+        ClientRequest request =
+                new ClientRequest(HttpMethod.GET, "/look/1", new DefaultHttpHeaders(), new byte[0]);
+        List<CompletableFuture<Status>> completions = new ArrayList<>();
+        List<Peer.Wire> connections = new ArrayList<>();
+        for (int i = 0; i < attempts; i++) {
+            CompletableFuture<Status> completion = new CompletableFuture<>();
+            completions.add(completion);
+            int id = i;
+            setup.runOnLoop(() -> backends.send(id, request, 20_000_000_000L, () -> true,
+                    (attempt, status, report, response) -> completion.complete(
+                            response.body().length == Backends.MAX_BODY_BYTES ? status : Status.ERROR)));
+            connections.add(backend.accept());
+            connections.get(i).read();
+        }
+        String longBody = "x".repeat(Backends.MAX_BODY_BYTES);
+        for (Peer.Wire connection : connections) {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + longBody.length() + "\r\n\r\n"
+                    + longBody.substring(1));
+        }
+        long highestBytes = 0;
+        for (int i = 0; i < 100; i++) {
+            highestBytes = Math.max(highestBytes,
+                    setup.loop.submit(responses::usedBytes).get(20, TimeUnit.SECONDS));
+            Thread.sleep(2);
+        }
+        assertTrue(highestBytes > limitBytes / 2, highestBytes + " bytes: hardly anything was read");
+        assertTrue(highestBytes <= limitBytes + maxOvershootBytes, highestBytes + " bytes");
+        for (Peer.Wire connection : connections) {
+            connection.write("x");
+        }
+        for (CompletableFuture<Status> completion : completions) {
+            assertEquals(Status.OK, completion.get(20, TimeUnit.SECONDS));
+        }
+        assertEquals(0, setup.loop.submit(responses::usedBytes).get(20, TimeUnit.SECONDS));
+    }
+
     /** Holds for a backend that was not in use before, too. */
     @Test
     void backendDrainingForLongerThanTheGraceIsSentNothing() throws Exception {
--- a/src/test/java/dewstage/proxy/DescriptorsTest.java
+++ b/src/test/java/dewstage/proxy/DescriptorsTest.java
@@ -97,32 +97,6 @@
         }
     }
 
-    /** Responds to every request on every connection. */
-    private static void respondToAll(Peer backend) {
-        Thread thread = new Thread(() -> {
-            try {
-                while (true) {
-                    Peer.Wire connection = backend.accept();
-                    Thread connectionThread = new Thread(() -> {
-                        try {
-                            while (!connection.read().isEmpty()) {
-                                connection.write(OK);
-                            }
-                        } catch (IOException e) {
-                            // the connection is closed
-                        }
-                    });
-                    connectionThread.setDaemon(true);
-                    connectionThread.start();
-                }
-            } catch (InterruptedException | AssertionError e) {
-                // no more are expected
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     @ParameterizedTest
     @ValueSource(ints = {256, 128})
     void withAllDescriptorsInUseRequestsAreServedAndTheWatchReconnects(int limit) throws Exception {
@@ -131,7 +105,7 @@
         List<Peer.Wire> idleClients = new ArrayList<>();
         try (Peer backend = new Peer()) {
             writeConfig(limit, listenPort, discoveryPort, backend);
-            respondToAll(backend);
+            backend.respondToAll(OK);
             Process process = start(limit, "dewstage.Main", "serve");
             LinkedBlockingQueue<String> logLines = logLines(process);
             try {
--- a/src/test/java/dewstage/proxy/Peer.java
+++ b/src/test/java/dewstage/proxy/Peer.java
@@ -56,6 +56,36 @@
         return connection;
     }
 
+    /** Sends this response to every request on every connection, in the background. */
+    void respondToAll(String response) {
+        startDaemon(() -> {
+            try {
+                while (true) {
+                    Wire connection = accept();
+                    startDaemon(() -> respondToAll(connection, response));
+                }
+            } catch (InterruptedException | AssertionError e) {
+                // no more are expected
+            }
+        });
+    }
+
+    private static void respondToAll(Wire connection, String response) {
+        try {
+            while (!connection.read().isEmpty()) {
+                connection.write(response);
+            }
+        } catch (IOException e) {
+            // the connection is closed
+        }
+    }
+
+    private static void startDaemon(Runnable action) {
+        Thread thread = new Thread(action);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     /** Whether the test has received all accepted connections. */
     boolean hasNoPendingConnection() {
         return accepted.isEmpty();
--- a/src/test/java/dewstage/proxy/Setup.java
+++ b/src/test/java/dewstage/proxy/Setup.java
@@ -83,10 +83,14 @@
     }
 
     Setup start(Config config) throws IOException {
+        return start(config, HeapShares.ofThisProcess(config.sockets()));
+    }
+
+    Setup start(Config config, HeapShares heapShares) throws IOException {
         proxy = Proxy.start(config, loop, (settings, seed, now, moduleActions) -> {
             actions = moduleActions;
             return new TestModule();
-        }, clock, confirmedFreshness());
+        }, clock, confirmedFreshness(), heapShares);
         return this;
     }
 
