An Error on the event loop no longer leaves the proxy standing still

Candidates and what excludes them: the loop is busy collecting garbage (the collector's log ends with the error); the loop waits for a lock or a write (there is no such thread: jstack shows no thread of the loop, and main in DefaultPromise.awaitUninterruptibly at Proxy.run). So the loop's thread had ended, and main waited for Netty's termination future, which the loop's own cleanup completes; without memory that failed as well.

What an Error left behind, found on the way (Proxy.enqueue, deliver and others): - Proxy.enqueue caught RuntimeException alone and deliver() then left `delivering` set: no event reached the module any more; - NioIoHandler passes an Error on, which ends the loop; main waited for good, and so did the drain that SIGTERM starts; - an executor drops a periodic task that has thrown once: overdue connections, idle connections and ids were swept no more; - a request whose handling failed left its connection busy; an attempt that failed to start left the module waiting for its outcome; a call to discovery that failed to start was the last one.

Change: each of these is caught where it happens and the request answered (500, 502), the attempt ended as moot, the task or call repeated.

--- a/src/main/java/dewstage/proxy/Backends.java
+++ b/src/main/java/dewstage/proxy/Backends.java
@@ -127,7 +127,7 @@
         this.connectTimeoutNs = config.connectTimeoutNs();
         this.keepAliveNs = Math.max(config.keepAliveNs() / 2, config.keepAliveNs() - KEEP_ALIVE_MARGIN_NS);
         this.drainGraceNs = config.drainGraceNs();
-        loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        PeriodicTasks.schedule(loop, "sweep of idle connections", this::sweep, SWEEP_MS, SWEEP_MS);
     }
 
     // ---- member list ----
@@ -249,6 +249,16 @@
             return attempt;
         }
         attempt.backend.useCount++;
+        try {
+            start(attempt, timeoutNs);
+        } catch (RuntimeException | Error e) {
+            Log.failure("an attempt failed to start", e);
+            loop.execute(() -> attempt.abort(Status.MOOT)); // not the backend's fault
+        }
+        return attempt;
+    }
+
+    private void start(Attempt attempt, long timeoutNs) {
         attempt.timer = loop.schedule(attempt::onTimeout, timeoutNs, TimeUnit.NANOSECONDS);
         Connection reused = pollReusable(attempt.backend);
         long delayNs = reused == null ? 0 : reused.idleSince + REUSE_DELAY_NS - clock.now();
@@ -260,7 +270,6 @@
         } else {
             reused.start(attempt);
         }
-        return attempt;
     }
 
     /** Returns the state of a backend, creating it if needed; null if the server is not listed. */
--- a/src/main/java/dewstage/proxy/ClientConnection.java
+++ b/src/main/java/dewstage/proxy/ClientConnection.java
@@ -340,16 +340,43 @@
             openRequestBytes = item.bytes();
             busy = true;
             keepAlive = item.keepAlive();
-            if (item.error() == null) {
-                owner.onRequest(this, item.request(), item.arrivedAt());
-            } else {
-                respond(item.status(), null, item.error());
+            try {
+                handle(item);
+            } catch (RuntimeException | Error e) {
+                onHandlingFailed(e);
             }
         }
     }
 
+    private void handle(QueuedRequest item) {
+        if (item.error() == null) {
+            owner.onRequest(this, item.request(), item.arrivedAt());
+        } else {
+            respond(item.status(), null, item.error());
+        }
+    }
+
+    /** Answers a request whose handling has failed; otherwise the connection would stay busy for good. */
+    private void onHandlingFailed(Throwable failure) {
+        Log.failure("a request could not be handled", failure);
+        if (busy) {
+            respond(HttpResponseStatus.INTERNAL_SERVER_ERROR.code(), null, "failed");
+        } else {
+            channel.close();
+        }
+    }
+
     /** Writes the final response to the current request; nothing is written to a disconnected client. */
     void respond(int status, HttpHeaders headers, byte[] content) {
+        try {
+            writeResponse(status, headers, content);
+        } catch (RuntimeException | Error e) {
+            channel.close(); // the client would wait in vain
+            throw e;
+        }
+    }
+
+    private void writeResponse(int status, HttpHeaders headers, byte[] content) {
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(content));
         if (headers != null) {
--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -289,6 +289,16 @@
 
     private void openCall() {
         retryTimer = null;
+        try {
+            startCall();
+        } catch (RuntimeException | Error e) {
+            Log.failure("discovery cannot be called", e);
+            closeCall("failed to start");
+            retryTimer = loop.schedule(this::openCall, MAX_RETRY_PAUSE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void startCall() {
         failedLivenessChecks = 0;
         call = new DiscoveryWatch(loop, this, address, version, stallTimeoutMs, maxListBytes,
                 new ListReader(membership, config), newCallLog());
--- a/src/main/java/dewstage/proxy/DiscoveryWatch.java
+++ b/src/main/java/dewstage/proxy/DiscoveryWatch.java
@@ -189,7 +189,7 @@
         if (stallTimer != null) {
             stallTimer.cancel(false);
         }
-        if (endReason != EndReason.NO_DESCRIPTOR) {
+        if (channel != null && endReason != EndReason.NO_DESCRIPTOR) {
             channel.close();
         }
     }
--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -100,13 +100,12 @@
                     }
                 }).bind(config.listen());
         listener = bound.channel();
-        loop.scheduleWithFixedDelay(() -> lag.heartbeat(clock.now()), 0, LoopLag.HEARTBEAT_INTERVAL_NS,
-                TimeUnit.NANOSECONDS);
-        loop.scheduleWithFixedDelay(this::closeTimedOut, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS,
-                TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(ids::expireClosed, ID_EXPIRY_MS, ID_EXPIRY_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(this::logStats, STATS_INTERVAL_MS, STATS_INTERVAL_MS,
-                TimeUnit.MILLISECONDS);
+        PeriodicTasks.schedule(loop, "heartbeat", () -> lag.heartbeat(clock.now()), 0,
+                TimeUnit.NANOSECONDS.toMillis(LoopLag.HEARTBEAT_INTERVAL_NS));
+        PeriodicTasks.schedule(loop, "close of overdue connections", this::closeTimedOut, SWEEP_INTERVAL_MS,
+                SWEEP_INTERVAL_MS);
+        PeriodicTasks.schedule(loop, "expiry of ids", ids::expireClosed, ID_EXPIRY_MS, ID_EXPIRY_MS);
+        PeriodicTasks.schedule(loop, "statistics", this::logStats, STATS_INTERVAL_MS, STATS_INTERVAL_MS);
         return bound;
     }
 
--- a/src/main/java/dewstage/proxy/NonPollingIoHandler.java
+++ b/src/main/java/dewstage/proxy/NonPollingIoHandler.java
@@ -1,10 +1,8 @@
 package dewstage.proxy;
 
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -16,14 +14,13 @@
  * timer, and for longer where the clock does not advance between waits. Here the delay is rounded up: a timer
  * may fire up to one millisecond late, and an iteration of the loop either has work or blocks.
  */
-final class NonPollingIoHandler implements IoHandler {
+final class NonPollingIoHandler extends ForwardingIoHandler {
     private static final long MILLISECOND_NS = TimeUnit.MILLISECONDS.toNanos(1);
 
-    private final IoHandler delegate;
     private RoundingContext roundingContext;
 
     private NonPollingIoHandler(IoHandler delegate) {
-        this.delegate = delegate;
+        super(delegate);
     }
 
     /** Wraps the handlers of a factory so that they round up the delay until the next timer. */
@@ -36,37 +33,7 @@
         if (roundingContext == null || roundingContext.loopContext != loopContext) {
             roundingContext = new RoundingContext(loopContext);
         }
-        return delegate.run(roundingContext);
-    }
-
-    @Override
-    public void initialize() {
-        delegate.initialize();
-    }
-
-    @Override
-    public void prepareToDestroy() {
-        delegate.prepareToDestroy();
-    }
-
-    @Override
-    public void destroy() {
-        delegate.destroy();
-    }
-
-    @Override
-    public IoRegistration register(IoHandle handle) throws Exception {
-        return delegate.register(handle);
-    }
-
-    @Override
-    public void wakeup() {
-        delegate.wakeup();
-    }
-
-    @Override
-    public boolean isCompatible(Class<? extends IoHandle> type) {
-        return delegate.isCompatible(type);
+        return delegate().run(roundingContext);
     }
 
     /** Rounds up the delay until the event loop's next timer to whole milliseconds. */
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -173,13 +173,17 @@
         Log.line("starting");
         Config config = Config.read(environment);
         playRehearsal(config, factory);
-        EventLoop loop = newLoop();
+        LoopThreadFactory loopThread = new LoopThreadFactory();
+        EventLoop loop = newLoop(loopThread);
         // Registered before the listener opens: from then on requests may be open at shutdown.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
-                started.thenCompose(Proxy::drain).join();
-                // Otherwise the exit status would report the signal, although the shutdown was clean.
-                Runtime.getRuntime().halt(0);
+                CompletableFuture<Void> drained = started.thenCompose(Proxy::drain);
+                CompletableFuture.anyOf(drained, loopThread.ended()).join();
+                if (drained.isDone()) {
+                    // Otherwise the exit status would report the signal, although the shutdown was clean.
+                    Runtime.getRuntime().halt(0);
+                }
             } catch (CompletionException e) {
                 Log.line("nothing to drain"); // the start failed, or the event loop has terminated
             }
@@ -190,7 +194,7 @@
             started.completeExceptionally(e);
             throw e;
         }
-        loop.terminationFuture().awaitUninterruptibly();
+        loopThread.ended().join();
         throw new IOException("the event loop has terminated"); // exit rather than stop accepting requests
     }
 
@@ -210,7 +214,12 @@
 
     /** Creates the event loop of a serving process. */
     static EventLoop newLoop() {
-        return new MultiThreadIoEventLoopGroup(1, NonPollingIoHandler.wrap(NioIoHandler.newFactory())).next();
+        return newLoop(new LoopThreadFactory());
+    }
+
+    private static EventLoop newLoop(LoopThreadFactory loopThread) {
+        return new MultiThreadIoEventLoopGroup(1, loopThread,
+                RecoveringIoHandler.wrap(NonPollingIoHandler.wrap(NioIoHandler.newFactory()))).next();
     }
 
     static Proxy start(Config config, EventLoop loop, Balancer.Factory factory, Clock clock)
@@ -291,21 +300,20 @@
             Log.line("draining");
             frontend.drain();
             loop.schedule(() -> {
-                frontend.close();
                 lastCompletedAt = clock.now();
-                completeDrainWhenEmpty();
+                PeriodicTasks.schedule(loop, "drain", this::completeDrainWhenEmpty, 0,
+                        DRAIN_POLL_INTERVAL_MS);
+                frontend.close();
             }, DRAIN_ACCEPT_MS, TimeUnit.MILLISECONDS);
         });
         return drained;
     }
 
     private void completeDrainWhenEmpty() {
-        if (exchangesByClient.isEmpty() && (frontend.openConnections() == 0
+        if (!drained.isDone() && exchangesByClient.isEmpty() && (frontend.openConnections() == 0
                 || clock.now() - lastCompletedAt >= DRAIN_SLACK_NS)) {
             Log.line("drained");
             drained.complete(null);
-        } else {
-            loop.schedule(this::completeDrainWhenEmpty, DRAIN_POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -324,25 +332,34 @@
         events.add(now -> {
             try {
                 event.dispatch(now);
-            } catch (RuntimeException e) {
-                // An exception in the module fails one request rather than all open requests.
-                StackTraceElement[] trace = e.getStackTrace();
-                Log.line("the module failed: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
+            } catch (RuntimeException | Error e) {
+                // A failure in the module fails one request rather than all open requests.
+                Log.failure("the module failed", e);
                 fail(ticket);
             }
         });
+        scheduleDelivery();
+    }
+
+    private void scheduleDelivery() {
         if (!delivering) {
-            delivering = true;
             loop.execute(this::deliver);
+            delivering = true;
         }
     }
 
     private void deliver() {
-        long now = clock.now();
-        for (Event e = events.poll(); e != null; e = events.poll()) {
-            e.dispatch(now);
+        try {
+            long now = clock.now();
+            for (Event e = events.poll(); e != null; e = events.poll()) {
+                e.dispatch(now);
+            }
+        } finally {
+            delivering = false;
+            if (!events.isEmpty()) {
+                scheduleDelivery(); // an event has failed; those behind it are still due
+            }
         }
-        delivering = false;
     }
 
     @Override
@@ -397,10 +414,20 @@
         long clientDeadline = arrivedAt + metadata.timeoutNs();
         Exchange exchange =
                 new Exchange(lastTicket, client, request, clientDeadline - marginNs, clientDeadline);
-        exchanges.put(exchange.ticket, exchange);
-        exchangesByClient.put(client, exchange);
         exchange.backstopTimer = loop.schedule(() -> onOverdue(exchange),
                 Math.max(0, clientDeadline - marginNs / 2 - now), TimeUnit.NANOSECONDS);
+        try {
+            exchanges.put(exchange.ticket, exchange);
+            exchangesByClient.put(client, exchange);
+            admit(exchange, metadata);
+        } catch (RuntimeException | Error e) {
+            complete(exchange); // the connection answers the request
+            exchanges.remove(exchange.ticket);
+            throw e;
+        }
+    }
+
+    private void admit(Exchange exchange, RequestMetadata metadata) {
         if (!isListReliable()) {
             refuse(exchange.ticket, config.settings().maxRetryAfterNs());
             return;
@@ -541,10 +568,19 @@
         if (LOG_ATTEMPTS) {
             logAttempt(exchange, attemptNumber, server);
         }
-        exchange.attempts.add(backends.send(server, exchange.request,
-                timeoutNs == 0 ? leftNs : Math.min(timeoutNs, leftNs), () -> mayStartAttempt(exchange),
-                (attempt, status, report, response) -> onAttemptCompleted(exchange, attemptNumber, server,
-                        now, status, report, response)));
+        Backends.Attempt started = null;
+        try {
+            started = backends.send(server, exchange.request,
+                    timeoutNs == 0 ? leftNs : Math.min(timeoutNs, leftNs), () -> mayStartAttempt(exchange),
+                    (attempt, status, report, response) -> onAttemptCompleted(exchange, attemptNumber,
+                            server, now, status, report, response));
+        } catch (RuntimeException | Error e) {
+            Log.failure("an attempt failed to start", e);
+        }
+        exchange.attempts.add(started);
+        if (started == null) { // a local failure, not the backend's
+            onAttemptCompleted(exchange, attemptNumber, server, now, Status.MOOT, null, null);
+        }
     }
 
     private void logAttempt(Exchange exchange, int attemptNumber, int server) {
--- a/src/test/java/dewstage/proxy/FrontendTest.java
+++ b/src/test/java/dewstage/proxy/FrontendTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -247,6 +248,30 @@
         }
     }
 
+    /** An Error in the module left the delivery of events switched off: no request was answered any more. */
+    @Test
+    void errorInTheModuleFailsOnlyOneRequest() throws Exception {
+        setup.onRequest = () -> {
+            setup.onRequest = () -> { };
+            throw new OutOfMemoryError("thrown by the module");
+        };
+        try (Peer.Wire first = setup.client(); Peer.Wire second = setup.client()) {
+            setup.runOnLoop(() -> { // so that both requests are delivered in one batch
+                try {
+                    first.write(Setup.get());
+                    second.write(Setup.get());
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
+            Request request = setup.awaitRequest();
+            setup.runOnLoop(() -> setup.actions.refuse(request.ticket(), 0));
+            List<String> statuses = Stream.of(first.read(), second.read())
+                    .map(response -> response.substring(0, "HTTP/1.1 200".length())).sorted().toList();
+            assertEquals(List.of("HTTP/1.1 502", "HTTP/1.1 503"), statuses);
+        }
+    }
+
     @Test
     void responsesOnOneConnectionAreInRequestOrder() throws Exception {
         try (Peer.Wire client = setup.client()) {
