--- a/src/test/java/dewstage/proxy/MembershipTest.java
+++ b/src/test/java/dewstage/proxy/MembershipTest.java
@@ -176,6 +176,19 @@
                 new Discovery.ListedBackend(member, Config.address("[2001:db8::2]:80"))));
     }
 
+    /** Only the last entry of an id counted, while all of them were kept until the end of the list. */
+    @Test
+    void entriesRepeatedInOneListCountTowardsItsLimit() throws Exception {
+        membership = new Membership(100 * 470);
+        List<String> repeated = new ArrayList<>();
+        for (int i = 0; i < 1000; i++) {
+            repeated.add(entryJson("same", 1, "in_service", 1 + i % 2));
+        }
+        assertThrows(TooLargeException.class,
+                () -> readOne(listJson(true, false, String.join(",", repeated))));
+        assertEquals(0, membership.size());
+    }
+
     @Test
     void repeatedListsFitAndListsThatAreTooLargeChangeNothing() throws Exception {
         membership = new Membership(100 * 470); // per entry: 160, 300 in the module, and the chars of the id
