Limit the memory of the ids of ended requests

By reckoning, 5,000 short requests a second with ids of 16 characters need some 4 MB, in a heap of 16 to 21 MB; not measured, and no caller has seen it.

--- a/src/main/java/dewstage/proxy/ClientConnection.java
+++ b/src/main/java/dewstage/proxy/ClientConnection.java
@@ -402,7 +402,7 @@
         }
         updateRequestMemory();
         responseInFlight = true;
-        responseMemory.set(content.length);
+        responseMemory.set(content.length + ResponseDecoder.MAX_HEAD_BYTES);
         channel.writeAndFlush(response).addListener(future -> {
             responseInFlight = false;
             responseMemory.set(0);
--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -59,7 +59,7 @@
     private final MemoryShare requestMemory;
     private final MemoryShare responseMemory;
     private final RequestHandler requestHandler;
-    private final RequestIds ids = new RequestIds();
+    private final RequestIds ids;
     /** Connections without a valid request so far, the oldest first. */
     private final Set<ClientConnection> unusedClients = new LinkedHashSet<>();
     /** The other connections, the least recently used first. */
@@ -74,7 +74,8 @@
     private boolean draining;
 
     Frontend(Config config, Clock clock, LoopLag lag, Sockets.Share sockets, MemoryShare requestMemory,
-            MemoryShare responseMemory, RequestHandler requestHandler) {
+            MemoryShare responseMemory, RequestIds ids, RequestHandler requestHandler) {
+        this.ids = ids;
         this.requestMemory = requestMemory;
         this.responseMemory = responseMemory;
         this.config = config;
--- a/src/main/java/dewstage/proxy/HeapShares.java
+++ b/src/main/java/dewstage/proxy/HeapShares.java
@@ -8,8 +8,9 @@
  * @param listBytes limit for the listed backends
  * @param requestBytes limit for requests, from their first byte to their response
  * @param responseBytes limit for responses, from their first byte until the client's socket has taken them
+ * @param requestIdBytes limit for the ids of requests that have ended
  */
-record HeapShares(long listBytes, long requestBytes, long responseBytes) {
+record HeapShares(long listBytes, long requestBytes, long responseBytes, long requestIdBytes) {
     /** Live heap of a proxy with one backend and no connections, rounded up. */
     private static final long BASE_BYTES = 5 << 20;
     /** Live heap of one open connection without a message, rounded up. */
@@ -17,6 +18,7 @@
     private static final double LIST_FRACTION = 0.5;
     private static final double REQUEST_FRACTION = 0.2;
     private static final double RESPONSE_FRACTION = 0.1;
+    private static final double REQUEST_ID_FRACTION = 0.05;
 
     /**
      * Divides what the base and the connections leave.
@@ -27,7 +29,7 @@
     static HeapShares of(long heapBytes, int sockets) {
         long available = Math.max(0, heapBytes - BASE_BYTES - sockets * CONNECTION_BYTES);
         return new HeapShares((long) (available * LIST_FRACTION), (long) (available * REQUEST_FRACTION),
-                (long) (available * RESPONSE_FRACTION));
+                (long) (available * RESPONSE_FRACTION), (long) (available * REQUEST_ID_FRACTION));
     }
 
     /** Divides the heap of this process. */
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -143,7 +143,8 @@
         Sockets sockets = new Sockets(config.sockets());
         MemoryShare responseMemory = new MemoryShare(heapShares.responseBytes());
         this.frontend = new Frontend(config, clock, lag, sockets.clients,
-                new MemoryShare(heapShares.requestBytes()), responseMemory, this);
+                new MemoryShare(heapShares.requestBytes()), responseMemory,
+                new RequestIds(heapShares.requestIdBytes()), this);
         this.discovery = new Discovery(loop, config, this, Discovery.STALL_TIMEOUT_MS,
                 heapShares.listBytes(), freshness);
         this.backends = new Backends(loop, clock, sockets.backends, new ResponseMemory(responseMemory),
--- a/src/main/java/dewstage/proxy/ResponseDecoder.java
+++ b/src/main/java/dewstage/proxy/ResponseDecoder.java
@@ -24,7 +24,7 @@
 
     private static final byte[] RESPONSE_PREFIX = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
     private static final int MAX_LINE_BYTES = 1024;
-    private static final int MAX_HEAD_BYTES = 8 << 10;
+    static final int MAX_HEAD_BYTES = 8 << 10;
 
     private enum Expected { NOTHING, RESPONSE_START, RESPONSE_REMAINDER, AFTER_RESPONSE }
 
