--- a/src/test/java/dewstage/proxy/DescriptorsTest.java
+++ b/src/test/java/dewstage/proxy/DescriptorsTest.java
@@ -59,12 +59,6 @@
         return process.start();
     }
 
-    private static int freePort() throws IOException {
-        try (Peer peer = new Peer()) {
-            return peer.address().getPort();
-        }
-    }
-
     /** Collects the log lines of the process in the background. */
     private static LinkedBlockingQueue<String> logLines(Process process) {
         LinkedBlockingQueue<String> lines = new LinkedBlockingQueue<>();
@@ -100,8 +94,8 @@
     @ParameterizedTest
     @ValueSource(ints = {256, 128})
     void withAllDescriptorsInUseRequestsAreServedAndTheWatchReconnects(int limit) throws Exception {
-        int listenPort = freePort();
-        int discoveryPort = freePort();
+        int listenPort = Peer.freePort();
+        int discoveryPort = Peer.freePort();
         List<Peer.Wire> idleClients = new ArrayList<>();
         try (Peer backend = new Peer()) {
             writeConfig(limit, listenPort, discoveryPort, backend);
@@ -149,7 +143,7 @@
     @Test
     void proxyRecoversOnceDescriptorsAreAvailableAgain() throws Exception {
         try (Peer discovery = new Peer(); Peer backend = new Peer()) {
-            int listenPort = freePort();
+            int listenPort = Peer.freePort();
             Files.writeString(folder.resolve("config.json"),
                     Setup.json(discovery.hostPort(), backend.hostPort(), 6, 5000).toString()
                             .replace("127.0.0.1:0", "127.0.0.1:" + listenPort));
--- a/src/test/java/dewstage/proxy/MemoryLimitTest.java
+++ b/src/test/java/dewstage/proxy/MemoryLimitTest.java
@@ -50,16 +50,10 @@
     /** Discovery is unreachable, so that the configured list remains in force. */
     private void writeConfig(int listenPort, Peer backend) throws IOException {
         Files.writeString(folder.resolve("config.json"),
-                Setup.json("127.0.0.1:" + freePort(), backend.hostPort(), 1024, 5000).toString()
+                Setup.json("127.0.0.1:" + Peer.freePort(), backend.hostPort(), 1024, 5000).toString()
                         .replace("127.0.0.1:0\"", "127.0.0.1:" + listenPort + "\""));
     }
 
-    private static int freePort() throws IOException {
-        try (Peer peer = new Peer()) {
-            return peer.address().getPort();
-        }
-    }
-
     /** Reads the log up to the line that says ready, and then discards the rest in the background. */
     private static void awaitReady(Process process) throws IOException {
         BufferedReader log = process.errorReader();
@@ -124,7 +118,7 @@
     @CsvSource({"16, 330", "21, 330", "37, 570", "90, 570"})
     void clientsThatStopInTheMiddleOfLongRequestsDoNotUseUpTheHeap(int heapMb, int clients)
             throws Exception {
-        int listenPort = freePort();
+        int listenPort = Peer.freePort();
         InetSocketAddress proxy = new InetSocketAddress("127.0.0.1", listenPort);
         ExecutorService threads = Executors.newCachedThreadPool();
         AtomicBoolean stop = new AtomicBoolean();
--- a/src/test/java/dewstage/proxy/OutOfMemoryTest.java
+++ b/src/test/java/dewstage/proxy/OutOfMemoryTest.java
@@ -31,10 +31,10 @@
     @Test
     void processAnswersOrExitsInsteadOfStandingStill() throws Exception {
         try (Peer backend = new Peer()) {
-            int listenPort = freePort();
+            int listenPort = Peer.freePort();
             // Discovery is unreachable, so that the configured list is in force.
             Files.writeString(folder.resolve("config.json"),
-                    Setup.json("127.0.0.1:" + freePort(), backend.hostPort(), 256, 5000).toString()
+                    Setup.json("127.0.0.1:" + Peer.freePort(), backend.hostPort(), 256, 5000).toString()
                             .replace("127.0.0.1:0\"", "127.0.0.1:" + listenPort + "\""));
             ProcessBuilder java = new ProcessBuilder(
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx16m",
@@ -71,12 +71,6 @@
         }
     }
 
-    private static int freePort() throws IOException {
-        try (Peer peer = new Peer()) {
-            return peer.address().getPort();
-        }
-    }
-
     private static boolean isAnswered(int port) {
         try (Peer.Wire client = Peer.Wire.to(new InetSocketAddress("127.0.0.1", port))) {
             client.write(Setup.get("Request-Timeout: " + TIMEOUT_S + "\r\n"));
--- a/src/test/java/dewstage/proxy/Peer.java
+++ b/src/test/java/dewstage/proxy/Peer.java
@@ -39,6 +39,13 @@
         acceptor.start();
     }
 
+    /** Returns a port on which nobody listens. */
+    static int freePort() throws IOException {
+        try (Peer peer = new Peer()) {
+            return peer.address().getPort();
+        }
+    }
+
     InetSocketAddress address() {
         return (InetSocketAddress) server.getLocalSocketAddress();
     }
