Tests: ports of processes that are starting are below the ephemeral ones

Cause, by reading: it keeps its port through the outage, and a second run of the harness on the machine draws from the same 10,000 ports, from an offset that follows from the process id. Two runs at once can still meet; that is not mended.

Mended beside it: ProxyFleet took an ephemeral port, released it, and started a process that binds it about a second later. Meanwhile any server of another test run could be given it, and the harness's client would talk to that one. It is one of two suspicions for the request that SlowDiscoveryTest lost; both kinds of port now come from HarnessPorts. Neither the collision nor the loss was forced.

--- a/src/test/java/dewstage/faults/ProxyFleet.java
+++ b/src/test/java/dewstage/faults/ProxyFleet.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -42,7 +41,7 @@
     /** Starts the next process; its number must be the one in the settings. */
     void start(ProxySettings settings) throws IOException {
         int proxy = processes.size();
-        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), HarnessPorts.next());
         configure(proxy, settings);
         ProcessBuilder builder = new ProcessBuilder(command())
                 .redirectErrorStream(true)
@@ -124,12 +123,6 @@
                 "serve");
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     private void killAll() {
         processes.forEach(Process::destroyForcibly);
     }
--- a/src/test/java/dewstage/faults/QueuedDiscovery.java
+++ b/src/test/java/dewstage/faults/QueuedDiscovery.java
@@ -25,7 +25,6 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A stand-in for a slow discovery. It answers calls in turn and spends the same time on each, including those that
@@ -41,16 +40,6 @@
     /** A period in which connections were accepted; {@code toNs} is Long.MAX_VALUE while it lasts. */
     record Reachable(long fromNs, long toNs) {}
 
-    /**
-     * Below the ephemeral ports of the system: during an outage the port is free, and a caller must not get it as its
-     * local port, or it could even connect to itself.
-     */
-    private static final int FIRST_PORT = 20_000;
-
-    private static final int PORTS = 10_000;
-    private static final AtomicInteger NEXT_PORT =
-            new AtomicInteger((int) (ProcessHandle.current().pid() * 100 % PORTS));
-
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofSeconds(2);
     private static final int BACKLOG = 4096;
     private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -173,19 +162,10 @@
         loop.submit(task).syncUninterruptibly();
     }
 
-    /** Listens at the previous port of the proxy, or at the next free one. */
+    /** Listens at the previous port of the proxy, or at a new one. */
     private Channel listen(int proxy) {
-        if (ports.get(proxy) > 0) {
-            return bind(proxy, ports.get(proxy)).syncUninterruptibly().channel();
-        }
-        for (int i = 0; i < PORTS; i++) {
-            int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
-            ChannelFuture bound = bind(proxy, port).awaitUninterruptibly();
-            if (bound.isSuccess()) {
-                return bound.channel();
-            }
-        }
-        throw new IllegalStateException("no free port");
+        int port = ports.get(proxy) > 0 ? ports.get(proxy) : HarnessPorts.next();
+        return bind(proxy, port).syncUninterruptibly().channel();
     }
 
     private ChannelFuture bind(int proxy, int port) {
