--- a/src/test/java/dewstage/faults/HarnessPorts.java
+++ b/src/test/java/dewstage/faults/HarnessPorts.java
@@ -7,8 +7,8 @@
 
 /**
  * Ports for listeners that are not always open: a process that is starting, or a service during an outage. They are
- * below the ephemeral ports of the system, so that meanwhile no other socket is given one of them, and no caller connects
- * to itself.
+ * below the ephemeral ports of the system: meanwhile no other socket is given one of them, and no caller connects to
+ * itself.
  */
 final class HarnessPorts {
     private static final int FIRST_PORT = 20_000;
