--- a/src/main/java/dewstage/proxy/ClientConnection.java
+++ b/src/main/java/dewstage/proxy/ClientConnection.java
@@ -38,8 +38,8 @@
         /** The partial request is complete, or has been discarded. */
         void onPartialRequestEnded(ClientConnection client);
 
-        /** The requests of all clients use more memory than they may; this client has just sent some. */
-        void onRequestMemoryExceeded(ClientConnection client);
+        /** The client has sent bytes of requests, with which their memory may be exceeded. */
+        void onRequestMemoryUsed(ClientConnection client);
 
         /** Called before a response is written; returns true to close the connection after it. */
         boolean onResponse(ClientConnection client, int status);
@@ -74,8 +74,6 @@
     private final Deque<QueuedRequest> queue = new ArrayDeque<>();
     private HttpRequest requestHead;
     private ByteBuf body;
-    /** Memory of all queued requests. */
-    private long queuedBytes;
     /** Memory of the request that is being handled. */
     private long openRequestBytes;
     private ClientRequest acceptedRequest;
@@ -228,17 +226,18 @@
         } else {
             owner.onPartialRequestEnded(this);
         }
-        if (updateRequestMemory()) {
-            owner.onRequestMemoryExceeded(this);
-        }
+        updateRequestMemory();
+        owner.onRequestMemoryUsed(this);
     }
 
-    /** Returns whether the share of all requests is exceeded. */
-    private boolean updateRequestMemory() {
+    private void updateRequestMemory() {
         long partialBytes = closing ? 0
                 : decoder.headBytes() + decoder.undecodedBytes() + (body == null ? 0 : body.capacity());
+        long queuedBytes = 0;
+        for (QueuedRequest item : queue) {
+            queuedBytes += item.bytes();
+        }
         requestMemory.set(partialBytes + queuedBytes + openRequestBytes + decoder.retainedBytes());
-        return requestMemory.isShareExceeded();
     }
 
     /** Answers the partial request without waiting for the rest of it. */
@@ -252,7 +251,6 @@
             return false;
         }
         QueuedRequest refused = queue.pollLast();
-        queuedBytes -= refused.bytes();
         queue.add(QueuedRequest.error(REFUSED_STATUS, REFUSED_TEXT, refused.arrivedAt(),
                 refused.keepAlive()));
         updateRequestMemory();
@@ -284,11 +282,10 @@
     private void enqueue(QueuedRequest item) {
         if (queue.size() < MAX_PIPELINED_REQUESTS) {
             queue.add(item);
-            queuedBytes += item.bytes();
         } else {
             // Ordinary clients do not pipeline this many requests. None of the queued ones has been sent to a
             // backend, and their deadlines would expire in the queue.
-            clearQueue();
+            queue.clear();
             rejectAndClose(429, "too many requests at once on a connection");
         }
     }
@@ -314,11 +311,6 @@
         owner.onPartialRequestEnded(this);
     }
 
-    private void clearQueue() {
-        queue.clear();
-        queuedBytes = 0;
-    }
-
     /** Starts the next request only after all received requests have been queued and counted. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
@@ -336,7 +328,6 @@
         // The previous response must have been taken: responses to a client that reads none would add up.
         while (!busy && !responseInFlight && !queue.isEmpty() && channel.isActive()) {
             QueuedRequest item = queue.poll();
-            queuedBytes -= item.bytes();
             openRequestBytes = item.bytes();
             busy = true;
             keepAlive = item.keepAlive();
@@ -398,7 +389,7 @@
         if (closeAfterResponse) {
             response.headers().set(HttpHeaderNames.CONNECTION, "close");
             stopReading(idleSince);
-            clearQueue();
+            queue.clear();
         }
         updateRequestMemory();
         responseInFlight = true;
@@ -424,7 +415,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         busy = false;
         body = null;
-        clearQueue();
+        queue.clear();
         openRequestBytes = 0;
         requestMemory.set(0);
         responseMemory.set(0);
--- a/src/main/java/dewstage/proxy/ClientConnectionStats.java
+++ b/src/main/java/dewstage/proxy/ClientConnectionStats.java
@@ -4,8 +4,8 @@
 
 /**
  * Counts client connections that are rejected or evicted because all slots are taken, and requests that are
- * refused for lack of memory. Without these counts,
- * clients that are disconnected before their first byte is read would leave no trace.
+ * refused for lack of memory. Without these counts, clients that are disconnected before their first byte is
+ * read would leave no trace.
  */
 final class ClientConnectionStats {
     int accepted;
--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -251,7 +251,7 @@
      * send the rest. If complete requests alone use all the memory, the newest one is refused.
      */
     @Override
-    public void onRequestMemoryExceeded(ClientConnection client) {
+    public void onRequestMemoryUsed(ClientConnection client) {
         while (requestMemory.isExceeded() && !partialRequests.isEmpty()) {
             ClientConnection longestSilent = partialRequests.iterator().next();
             partialRequests.remove(longestSilent);
--- a/src/main/java/dewstage/proxy/HeadMemory.java
+++ b/src/main/java/dewstage/proxy/HeadMemory.java
@@ -11,22 +11,23 @@
     private boolean started;
     private boolean complete;
 
-    /** Counts bytes that the decoder has consumed; those after the head are not part of it. */
-    void onConsumed(int count) {
-        if (!complete && count > 0) {
-            bytes += count + (started ? 0 : EMPTY_HEAD_BYTES);
+    /**
+     * Counts bytes that the decoder has consumed; those after the head are not part of it.
+     *
+     * @param isComplete whether the head has been decoded to its end
+     */
+    void onDecoded(int consumedBytes, boolean isComplete) {
+        if (!complete && consumedBytes > 0) {
+            bytes += consumedBytes + (started ? 0 : EMPTY_HEAD_BYTES);
             started = true;
         }
+        complete |= isComplete;
     }
 
     void onHeader() {
         bytes += HEADER_BYTES;
     }
 
-    void onComplete() {
-        complete = true;
-    }
-
     /** Forgets the message; the next bytes start another one. */
     void reset() {
         bytes = 0;
--- a/src/main/java/dewstage/proxy/LibraryLog.java
+++ b/src/main/java/dewstage/proxy/LibraryLog.java
@@ -21,11 +21,12 @@
     @Override
     public void publish(LogRecord logRecord) {
         if (isLoggable(logRecord)) {
-            Throwable thrown = logRecord.getThrown();
-            StackTraceElement[] trace = thrown == null ? new StackTraceElement[0] : thrown.getStackTrace();
-            Log.line(logRecord.getLevel().getName() + " " + logRecord.getMessage()
-                    + (thrown == null ? "" : ": " + thrown)
-                    + (trace.length > 0 ? " at " + trace[0] : ""));
+            String text = logRecord.getLevel().getName() + " " + logRecord.getMessage();
+            if (logRecord.getThrown() == null) {
+                Log.line(text);
+            } else {
+                Log.failure(text, logRecord.getThrown());
+            }
         }
     }
 
--- a/src/main/java/dewstage/proxy/Membership.java
+++ b/src/main/java/dewstage/proxy/Membership.java
@@ -41,7 +41,7 @@
     private static final int MODULE_BYTES = 300;
 
     /** Memory of an entry that a later one of the same list replaces, besides the characters of its id. */
-    private static final int ENTRY_BYTES = 136;
+    private static final int REPLACED_ENTRY_BYTES = 136;
 
     private final long maxBytes;
     private Entries entries = new Entries();
@@ -116,7 +116,8 @@
             staged.put(entry);
             ordered.add(entry);
             addedCount += current == null ? 1 : 0;
-            long repeatedBytes = (long) (ordered.size() - staged.size()) * (ENTRY_BYTES + id.length());
+            long repeatedBytes =
+                    (long) (ordered.size() - staged.size()) * (REPLACED_ENTRY_BYTES + id.length());
             if (entries.bytes() + staged.bytes() + repeatedBytes
                     + (long) (entries.size() + addedCount) * MODULE_BYTES > maxBytes) {
                 throw new TooLargeException("more than " + maxBytes / 1_000_000 + " MB with entry "
--- a/src/main/java/dewstage/proxy/MemoryShare.java
+++ b/src/main/java/dewstage/proxy/MemoryShare.java
@@ -45,16 +45,8 @@
             }
         }
 
-        long bytes() {
-            return bytes;
-        }
-
         boolean isShareHalfUsed() {
             return usedBytes > limitBytes / 2;
         }
-
-        boolean isShareExceeded() {
-            return isExceeded();
-        }
     }
 }
--- a/src/main/java/dewstage/proxy/RequestDecoder.java
+++ b/src/main/java/dewstage/proxy/RequestDecoder.java
@@ -107,10 +107,7 @@
         inRequest |= in.getByte(in.readerIndex()) > ' '; // empty lines do not start a request
         int readableBefore = in.readableBytes();
         super.decode(ctx, in, out);
-        headMemory.onConsumed(readableBefore - in.readableBytes());
-        if (!out.isEmpty()) {
-            headMemory.onComplete();
-        }
+        headMemory.onDecoded(readableBefore - in.readableBytes(), !out.isEmpty());
     }
 
     @Override
--- a/src/main/java/dewstage/proxy/ResponseDecoder.java
+++ b/src/main/java/dewstage/proxy/ResponseDecoder.java
@@ -62,10 +62,7 @@
     private void decodeResponse(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
         int readableBefore = in.readableBytes();
         super.decode(ctx, in, out);
-        headMemory.onConsumed(readableBefore - in.readableBytes());
-        if (!out.isEmpty()) {
-            headMemory.onComplete();
-        }
+        headMemory.onDecoded(readableBefore - in.readableBytes(), !out.isEmpty());
     }
 
     @Override
--- a/src/test/java/dewstage/proxy/ClientConnectionTest.java
+++ b/src/test/java/dewstage/proxy/ClientConnectionTest.java
@@ -46,7 +46,7 @@
         public void onPartialRequestEnded(ClientConnection client) { }
 
         @Override
-        public void onRequestMemoryExceeded(ClientConnection client) { }
+        public void onRequestMemoryUsed(ClientConnection client) { }
 
         @Override
         public boolean onResponse(ClientConnection client, int status) {
