--- /dev/null
+++ b/review/stand-2/Catalog.java
@@ -0,0 +1,176 @@
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Discovery: the whole list, and watches that bring each change at once and an empty line every 2 s. */
+final class Catalog implements Closeable {
+    /** How calls are treated. */
+    enum Mode {
+        /** Answered at once. */
+        SOUND,
+        /** A call waits 2 s in the queue, too long, and ends in 503. */
+        CROWDED,
+        /** A call ends in a reset at once. */
+        DOWN
+    }
+
+    private record Entry(String id, String address, String lifecycle, long startedAtMs, long generation) { }
+
+    private final Stage stage;
+    private final String name;
+    private final ServerSocket listener;
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final List<Socket> watches = new ArrayList<>();
+    private long generation = 1;
+    private volatile Mode mode = Mode.SOUND;
+
+    Catalog(Stage stage, String name) throws IOException {
+        this.stage = stage;
+        this.name = name;
+        listener = new ServerSocket();
+        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 200);
+        Stage.thread(this::accept);
+        Stage.thread(this::beat);
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    void setMode(Mode mode) {
+        this.mode = mode;
+        stage.record(name + " is now " + mode);
+    }
+
+    /** Adds or changes an entry and tells it to every open watch. */
+    synchronized void put(String id, String address, String lifecycle, long startedAtMs) {
+        entries.put(id, new Entry(id, address, lifecycle, startedAtMs, ++generation));
+        stage.record(name + " has " + id + " " + lifecycle + ", generation " + generation + ", " + watches.size()
+                + " open watches");
+        String line = list(generation - 1, false);
+        watches.removeIf(watch -> !write(watch, line));
+    }
+
+    /** Resets all open watches. */
+    synchronized void resetWatches() throws IOException {
+        stage.record(name + " resets " + watches.size() + " open watches");
+        for (Socket watch : watches) {
+            watch.setSoLinger(true, 0);
+            watch.close();
+        }
+        watches.clear();
+    }
+
+    /** The list after a version as one line of JSON. */
+    synchronized String list(long after, boolean whole) {
+        StringBuilder text = new StringBuilder("{\"generation\":" + generation + ",\"reset\":" + whole
+                + ",\"instances\":[");
+        String separator = "";
+        for (Entry e : entries.values()) {
+            if (whole ? !e.lifecycle().equals("terminated") : e.generation() > after) {
+                text.append(separator).append("{\"instanceId\":\"" + e.id() + "\",\"hostPort\":\"" + e.address()
+                        + "\",\"zone\":\"a\",\"machineType\":\"m1\",\"cell\":0,\"lifecycle\":\"" + e.lifecycle()
+                        + "\",\"weight\":1.0,\"startedAtMs\":" + e.startedAtMs() + "}");
+                separator = ",";
+            }
+        }
+        return text + "]}\n";
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                socket.setTcpNoDelay(true);
+                Stage.thread(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // closed
+        }
+    }
+
+    private void serve(Socket socket) {
+        try {
+            BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
+            Wire.Message request = Wire.read(in);
+            if (request == null) {
+                socket.close();
+                return; // a check of whether discovery accepts connections
+            }
+            Mode now = mode;
+            stage.record(name + " is called: " + request.path() + ", " + now);
+            if (now == Mode.DOWN) {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            } else if (now == Mode.CROWDED) {
+                Thread.sleep(2000);
+                socket.getOutputStream().write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".getBytes());
+                stage.record(name + " ends a call with 503 after 2 s");
+                socket.close();
+            } else {
+                answer(socket, request.path());
+            }
+        } catch (IOException e) {
+            // the proxy has closed the connection
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized void answer(Socket socket, String path) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        int index = path.indexOf("index=");
+        String text = list(index < 0 ? 0 : Long.parseLong(path.substring(index + 6)), index < 0);
+        stage.record(name + " answers " + path + " with " + text.trim());
+        if (!path.contains("stream=1")) {
+            out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text).getBytes());
+            return;
+        }
+        out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
+        if (write(socket, text)) {
+            watches.add(socket);
+        }
+    }
+
+    private static boolean write(Socket socket, String text) {
+        try {
+            byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+            socket.getOutputStream().write((Integer.toHexString(bytes.length) + "\r\n" + text + "\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void beat() {
+        try {
+            while (!listener.isClosed()) {
+                Thread.sleep(2000);
+                synchronized (this) {
+                    watches.removeIf(watch -> !write(watch, "\n"));
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        listener.close();
+        for (Socket watch : watches) {
+            watch.close();
+        }
+    }
+}
