--- a/review/stand-2/Catalog.java
+++ b/review/stand-2/Catalog.java
@@ -24,7 +24,8 @@
         DOWN
     }
 
-    private record Entry(String id, String address, String lifecycle, long startedAtMs, long generation) { }
+    private record Entry(String id, String address, String zone, String lifecycle, long startedAtMs,
+            long generation) { }
 
     private final Stage stage;
     private final String name;
@@ -53,8 +54,13 @@
     }
 
     /** Adds or changes an entry and tells it to every open watch. */
-    synchronized void put(String id, String address, String lifecycle, long startedAtMs) {
-        entries.put(id, new Entry(id, address, lifecycle, startedAtMs, ++generation));
+    void put(String id, String address, String lifecycle, long startedAtMs) {
+        put(id, address, "a", lifecycle, startedAtMs);
+    }
+
+    /** As above, in a zone. */
+    synchronized void put(String id, String address, String zone, String lifecycle, long startedAtMs) {
+        entries.put(id, new Entry(id, address, zone, lifecycle, startedAtMs, ++generation));
         stage.record(name + " has " + id + " " + lifecycle + ", generation " + generation + ", " + watches.size()
                 + " open watches");
         String line = list(generation - 1, false);
@@ -79,7 +85,7 @@
         for (Entry e : entries.values()) {
             if (whole ? !e.lifecycle().equals("terminated") : e.generation() > after) {
                 text.append(separator).append("{\"instanceId\":\"" + e.id() + "\",\"hostPort\":\"" + e.address()
-                        + "\",\"zone\":\"a\",\"machineType\":\"m1\",\"cell\":0,\"lifecycle\":\"" + e.lifecycle()
+                        + "\",\"zone\":\"" + e.zone() + "\",\"machineType\":\"m1\",\"cell\":0,\"lifecycle\":\"" + e.lifecycle()
                         + "\",\"weight\":1.0,\"startedAtMs\":" + e.startedAtMs() + "}");
                 separator = ",";
             }
@@ -166,6 +172,12 @@
         }
     }
 
+    /** Takes no new connections from now on; open ones stay. */
+    void stopAccepting() throws IOException {
+        listener.close();
+        stage.record(name + " takes no new connections");
+    }
+
     @Override
     public synchronized void close() throws IOException {
         listener.close();
--- a/review/stand-2/Settings.java
+++ b/review/stand-2/Settings.java
@@ -2,6 +2,8 @@
 final class Settings {
     String discovery;
     String known;
+    /** The zones as JSON; the proxy is in the first one. */
+    String zones = "[\"a\"]";
     boolean pushed = true;
     int memoryMb = 128;
     int sockets = 512;
@@ -18,7 +20,7 @@
         return "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery
                 + "\",\"seed\":\"8c1f30d27a5be964\",\n\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb
                 + ",\"sockets\":" + sockets + "},\n\"known\":" + known.trim() + ",\n"
-                + "\"settings\":{\"me\":0,\"balancers\":4,\"zone\":0,\"step_ns\":5000000,\"zones\":[\"a\"],"
+                + "\"settings\":{\"me\":0,\"balancers\":4,\"zone\":0,\"step_ns\":5000000,\"zones\":" + zones + ","
                 + "\"skus\":[\"m1\"],\"tenants\":[],\"discovery\":\"" + (pushed ? "pushed" : "on_request") + "\",\n"
                 + "\"profiles\":[\n"
                 + "{\"name\":\"status\",\"effect\":\"idempotent\",\"promise_ns\":250000000,"
