--- a/review/stand-2/Catalog.java
+++ b/review/stand-2/Catalog.java
@@ -29,7 +29,9 @@
 
     private final Stage stage;
     private final String name;
-    private final ServerSocket listener;
+    private volatile ServerSocket listener;
+    private final int port;
+    private volatile boolean closed;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final List<Socket> watches = new ArrayList<>();
     private long generation = 1;
@@ -38,14 +40,34 @@
     Catalog(Stage stage, String name) throws IOException {
         this.stage = stage;
         this.name = name;
-        listener = new ServerSocket();
-        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 200);
-        Stage.thread(this::accept);
+        listen(0);
+        port = listener.getLocalPort();
         Stage.thread(this::beat);
     }
 
+    private void listen(int port) throws IOException {
+        ServerSocket socket = new ServerSocket();
+        socket.setReuseAddress(true);
+        socket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 200);
+        listener = socket;
+        Stage.thread(() -> accept(socket));
+    }
+
+    /** Dies as a process does: open connections are reset and new ones refused. It keeps what it knows. */
+    synchronized void die() throws IOException {
+        stage.record(name + " goes down");
+        listener.close();
+        resetWatches();
+    }
+
+    /** Comes back at its address. */
+    synchronized void comeBack() throws IOException {
+        listen(port);
+        stage.record(name + " is back");
+    }
+
     String address() {
-        return "127.0.0.1:" + listener.getLocalPort();
+        return "127.0.0.1:" + port;
     }
 
     void setMode(Mode mode) {
@@ -93,10 +115,10 @@
         return text + "]}\n";
     }
 
-    private void accept() {
+    private void accept(ServerSocket from) {
         try {
             while (true) {
-                Socket socket = listener.accept();
+                Socket socket = from.accept();
                 socket.setTcpNoDelay(true);
                 Stage.thread(() -> serve(socket));
             }
@@ -161,7 +183,7 @@
 
     private void beat() {
         try {
-            while (!listener.isClosed()) {
+            while (!closed) {
                 Thread.sleep(2000);
                 synchronized (this) {
                     watches.removeIf(watch -> !write(watch, "\n"));
@@ -180,6 +202,7 @@
 
     @Override
     public synchronized void close() throws IOException {
+        closed = true;
         listener.close();
         for (Socket watch : watches) {
             watch.close();
--- a/review/stand-2/Settings.java
+++ b/review/stand-2/Settings.java
@@ -10,6 +10,8 @@
     int maxAttempts = 4;
     long drainGraceMs = 1500;
     long keepaliveMs = 15000;
+    long windowMs = 5000;
+    double lateShare = 0.25;
 
     Settings(String discovery, String known) {
         this.discovery = discovery;
@@ -26,10 +28,10 @@
                 + "{\"name\":\"status\",\"effect\":\"idempotent\",\"promise_ns\":250000000,"
                 + "\"give_up_ns\":1200000000,\"worth\":3.0,\"late_share\":0.5},\n"
                 + "{\"name\":\"fault-log\",\"effect\":\"deduplicated\",\"dedup_scope\":\"zone\","
-                + "\"window_ns\":5000000000,\"promise_ns\":300000000,\"give_up_ns\":1000000000,\"worth\":3.0,"
-                + "\"late_share\":0.2},\n"
+                + "\"window_ns\":" + windowMs + "000000,\"promise_ns\":300000000,\"give_up_ns\":1000000000,\"worth\":3.0,"
+                + "\"late_share\":" + lateShare + "},\n"
                 + "{\"name\":\"dispatch\",\"effect\":\"at_most_once\",\"promise_ns\":300000000,"
-                + "\"give_up_ns\":1500000000,\"worth\":8.0,\"late_share\":0.25}],\n"
+                + "\"give_up_ns\":1500000000,\"worth\":8.0,\"late_share\":" + lateShare + "}],\n"
                 + "\"limits\":{\"cancelling\":true,\"max_attempts\":" + maxAttempts
                 + ",\"retry_after\":true,\"max_retry_after_ns\":750000000,\"may_duplicate\":false,"
                 + "\"multiplex\":1,\"connect_timeout_ns\":120000000,\"keepalive_ns\":" + keepaliveMs + "000000},\n"
--- a/review/stand-2/Stage.java
+++ b/review/stand-2/Stage.java
@@ -106,9 +106,13 @@
 
     /** Starts a proxy and waits until it is ready. */
     Proxy start(Settings settings) throws IOException, InterruptedException {
-        int port = freePort();
-        Path config = folder.resolve("config-" + port + ".json");
-        Path log = folder.resolve("log-" + port + ".txt");
+        return start(settings, freePort());
+    }
+
+    /** As above, at a given port: a proxy that begins again keeps its address. */
+    Proxy start(Settings settings, int port) throws IOException, InterruptedException {
+        Path config = folder.resolve("config-" + proxies.size() + ".json");
+        Path log = folder.resolve("log-" + proxies.size() + ".txt");
         Files.writeString(config, settings.json("127.0.0.1:" + port));
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "exec sh deploy/serve.sh");
         builder.environment().put("NODE_CONFIG", config.toString());
