Review case 9: an older list puts a draining backend back into service

Looked for: lists that go back behind what the proxy was told. Done: a case with the whole list of an older version after a reset watch.

--- a/review/stand-2/Catalog.java
+++ b/review/stand-2/Catalog.java
@@ -35,6 +35,8 @@
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final List<Socket> watches = new ArrayList<>();
     private long generation = 1;
+    /** The answer to the next call in place of the true one; null if there is none. */
+    private String nextAnswer;
     private volatile Mode mode = Mode.SOUND;
 
     Catalog(Stage stage, String name) throws IOException {
@@ -89,6 +91,11 @@
         watches.removeIf(watch -> !write(watch, line));
     }
 
+    /** Answers the next call with this list and nothing more. */
+    synchronized void answerNextCallWith(String list) {
+        nextAnswer = list;
+    }
+
     /** Resets all open watches. */
     synchronized void resetWatches() throws IOException {
         stage.record(name + " resets " + watches.size() + " open watches");
@@ -158,7 +165,8 @@
     private synchronized void answer(Socket socket, String path) throws IOException {
         OutputStream out = socket.getOutputStream();
         int index = path.indexOf("index=");
-        String text = list(index < 0 ? 0 : Long.parseLong(path.substring(index + 6)), index < 0);
+        String text = nextAnswer != null ? nextAnswer : list(index < 0 ? 0 : Long.parseLong(path.substring(index + 6)), index < 0);
+        nextAnswer = null;
         stage.record(name + " answers " + path + " with " + text.trim());
         if (!path.contains("stream=1")) {
             out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text).getBytes());
