--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Many requests at once on one connection; see claim.txt.
-play=ManyAtOnce
+# The exit of a planned restart while requests are being written and the proxy is held up; see claim.txt.
+play=DrainExit
 . "$(dirname "$0")/../stand-2/case.sh"
