--- a/review/stand-2/Stage.java
+++ b/review/stand-2/Stage.java
@@ -42,6 +42,14 @@
             record("the proxy got SIG" + signal);
         }
 
+        /**
+         * Prepares a process that stops the proxy as soon as a line is written to it, and lets it go on after a time.
+         */
+        Process prepareStop(int ms) throws IOException {
+            return new ProcessBuilder("/bin/sh", "-c", "read line && kill -STOP " + process.pid() + "; sleep "
+                    + ms / 1000.0 + "; kill -CONT " + process.pid()).start();
+        }
+
         void replaceConfig(String json) throws IOException {
             Path next = config.resolveSibling(config.getFileName() + ".next");
             Files.writeString(next, json);
