Review stand-ins: end all processes also when a signal ends a script

A failure of the runtime itself no longer counts as a broken rule, and what a play has started ends with it.

--- a/review/stand-2/Stage.java
+++ b/review/stand-2/Stage.java
@@ -10,6 +10,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -46,8 +47,10 @@
          * Prepares a process that stops the proxy as soon as a line is written to it, and lets it go on after a time.
          */
         Process prepareStop(int ms) throws IOException {
-            return new ProcessBuilder("/bin/sh", "-c", "read line && kill -STOP " + process.pid() + "; sleep "
-                    + ms / 1000.0 + "; kill -CONT " + process.pid()).start();
+            Process stop = new ProcessBuilder("/bin/sh", "-c", "read line || exit 0; kill -STOP " + process.pid()
+                    + "; sleep " + ms / 1000.0 + "; kill -CONT " + process.pid()).start();
+            stops.add(stop);
+            return stop;
         }
 
         void replaceConfig(String json) throws IOException {
@@ -72,7 +75,8 @@
 
     private final PrintWriter record;
     private final Path folder;
-    private final List<Proxy> proxies = new ArrayList<>();
+    private final List<Proxy> proxies = new CopyOnWriteArrayList<>();
+    private final List<Process> stops = new CopyOnWriteArrayList<>();
     private final List<Closeable> stands = new ArrayList<>();
     private final long beganNs = System.nanoTime();
 
@@ -80,6 +84,16 @@
         record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)), true);
         folder = Files.createTempDirectory("review-2-");
         record("TROUBLE=" + (TROUBLE ? 1 : 0));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses)); // also when a signal ends the script
+    }
+
+    private void endProcesses() {
+        for (Process stop : stops) {
+            stop.destroyForcibly();
+        }
+        for (Proxy proxy : proxies) {
+            proxy.process.destroyForcibly();
+        }
     }
 
     <T extends Closeable> T add(T stand) {
@@ -155,8 +169,8 @@
 
     @Override
     public void close() throws IOException {
+        endProcesses();
         for (Proxy proxy : proxies) {
-            proxy.process.destroyForcibly();
             try {
                 proxy.process.waitFor(5, TimeUnit.SECONDS);
             } catch (InterruptedException e) {
@@ -179,9 +193,14 @@
         boolean run(Stage stage) throws Exception;
     }
 
-    /** Plays a case and exits with 0 if the rule held, 1 if it was broken, 2 if it could not be played. */
+    // Not 0 and 1: a Java runtime that fails by itself ends with 1. The script translates them.
+    private static final int HELD = 10;
+    private static final int BROKEN = 11;
+    private static final int NOT_PLAYED = 2;
+
+    /** Plays a case and exits with one of the statuses above. */
     static void main(String[] args, Play play) throws IOException {
-        int status = 2;
+        int status = NOT_PLAYED;
         try (Stage stage = new Stage(args[0])) {
             thread(() -> {
                 try {
@@ -189,18 +208,16 @@
                 } catch (InterruptedException e) {
                     return;
                 }
-                for (Proxy proxy : stage.proxies) {
-                    proxy.process.destroyForcibly();
-                }
-                Runtime.getRuntime().halt(2);
+                stage.record("not played: it took too long");
+                System.exit(NOT_PLAYED);
             });
             try {
-                status = play.run(stage) ? 0 : 1;
+                status = play.run(stage) ? HELD : BROKEN;
             } catch (Exception e) {
                 stage.record("could not be played: " + e);
                 e.printStackTrace();
             }
-            String result = status == 0 ? "the rule held" : status == 1 ? "the rule was BROKEN" : "not played";
+            String result = status == HELD ? "the rule held" : status == BROKEN ? "the rule was BROKEN" : "not played";
             stage.record(result);
             System.out.println(result);
         }
