--- a/review/stand-2/Catalog.java
+++ b/review/stand-2/Catalog.java
@@ -42,7 +42,7 @@
     Catalog(Stage stage, String name) throws IOException {
         this.stage = stage;
         this.name = name;
-        listen(0);
+        listen(Stage.freePort());
         port = listener.getLocalPort();
         Stage.thread(this::beat);
     }
--- a/review/stand-2/Stage.java
+++ b/review/stand-2/Stage.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -120,10 +121,18 @@
         record.println(String.format(Locale.ROOT, "%8.3f  %s", seconds(), line));
     }
 
+    /** Returns a free port below those that the system gives to outgoing connections, which could take it at once. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+        IOException last = null;
+        for (int i = 0; i < 100; i++) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 30_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                last = e; // in use
+            }
         }
+        throw last;
     }
 
     /** Starts a proxy and waits until it is ready. */
