--- a/review/stand-2/StoppedRepeat.java
+++ b/review/stand-2/StoppedRepeat.java
@@ -13,7 +13,7 @@
  * again. Servers drop a repeat only within the window of the settings, so it must not be sent after that.
  */
 final class StoppedRepeat {
-    private static final int ROUNDS = 22;
+    private static final int ROUNDS = 30;
     private static final int WORKERS = 4;
     /** As in deploy/rehearsal.json. */
     private static final int WINDOW_MS = 1200;
