--- a/review/stand-2/Stage.java
+++ b/review/stand-2/Stage.java
@@ -90,7 +90,9 @@
 
     private void endProcesses() {
         for (Process stop : stops) {
-            stop.destroyForcibly();
+            List<ProcessHandle> sleeping = stop.descendants().toList();
+            stop.destroyForcibly(); // first, so that it starts nothing more
+            sleeping.forEach(ProcessHandle::destroyForcibly);
         }
         for (Proxy proxy : proxies) {
             proxy.process.destroyForcibly();
