Drain until every request that was sent or begun is answered, not until 0.1 s of quiet

Cause: Proxy.completeDrainWhenEmpty ended the process 0.1 s after the last response, whatever connections were open. Neither a request read in part nor unread bytes counted. Related paths with the same cause: closing the listener reset what waited in its backlog; a response with "Connection: close" dropped half of the next pipelined request; a request that came late kept its whole timeout, beyond the earliest kill.

Change: Drain (out of Proxy) completes once the proxy has closed its side of every connection, so what comes later meets the end of a connection by any order of events. Connections with half a request stay; it is refused with 503 before the earliest kill. The backlog is accepted before the listener closes, a connection is read before it counts as idle, and the deadline of a late request ends before the kill.

--- a/src/main/java/dewstage/proxy/ClientConnection.java
+++ b/src/main/java/dewstage/proxy/ClientConnection.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -120,9 +119,7 @@
      * The in-process channels of a rehearsal have no unread data.
      */
     boolean checkConnected() {
-        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket && channel.isActive()) {
-            socket.read();
-        }
+        Sockets.readPending(channel);
         return channel.isActive();
     }
 
@@ -145,8 +142,20 @@
         channel.close();
     }
 
+    /** Closes the connection unless a request is open on it, or arrived and is unread so far. */
+    void closeIfIdle() {
+        if (!closing && isIdle() && checkConnected() && isIdle()) {
+            closeGracefully();
+        }
+    }
+
+    /** Whether the proxy has closed its side, after all responses were written. */
+    boolean hasEnded() {
+        return closing && isIdle();
+    }
+
     /** Closes a connection without an open request. */
-    void closeGracefully() {
+    private void closeGracefully() {
         if (closing) {
             return;
         }
@@ -176,8 +185,8 @@
             rejectAndClose(408, "the request did not come in time");
         } else if (responseInFlight && now - idleSince > responseTimeoutNs) {
             channel.close(); // the client does not read its response
-        } else if (isIdle() && now - idleSince > (used ? idleTimeoutNs : requestTimeoutNs)) {
-            closeGracefully();
+        } else if (now - idleSince > (used ? idleTimeoutNs : requestTimeoutNs)) {
+            closeIfIdle();
         }
     }
 
@@ -383,8 +392,9 @@
         boolean awaitsClientClose =
                 acceptedRequest != null || status == REFUSED_STATUS && !retainsMemory;
         boolean freesMemory = retainsMemory && requestMemory.isShareHalfUsed();
+        boolean hasNextRequest = !queue.isEmpty() || !closing && decoder.inRequest();
         boolean closeAfterResponse =
-                (owner.onResponse(this, status) || freesMemory) && queue.isEmpty() || !keepAlive;
+                (owner.onResponse(this, status) || freesMemory) && !hasNextRequest || !keepAlive;
         acceptedRequest = null;
         if (closeAfterResponse) {
             response.headers().set(HttpHeaderNames.CONNECTION, "close");
--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -49,6 +50,8 @@
     private static final long IDLE_TIMEOUT_NS = 5_000_000_000L;
     /** Maximum reads of a client's socket per iteration of the event loop. */
     private static final int MAX_READS_PER_LOOP = 16;
+    /** Number of connections that may wait to be accepted. */
+    private static final int BACKLOG = 1024;
     private static final long SWEEP_INTERVAL_MS = 200;
     private static final long ID_EXPIRY_MS = 4000;
     private static final long STATS_INTERVAL_MS = 10_000;
@@ -72,6 +75,7 @@
     private final LoopLag lag;
     private Channel listener;
     private boolean draining;
+    private long lastResponseAt;
 
     Frontend(Config config, Clock clock, LoopLag lag, Sockets.Share sockets, MemoryShare requestMemory,
             MemoryShare responseMemory, RequestIds ids, RequestHandler requestHandler) {
@@ -88,7 +92,7 @@
 
     ChannelFuture listen(EventLoop loop) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // Reads until the socket is empty: after a first short read a close could remain unread.
@@ -129,9 +133,8 @@
 
     private void closeTimedOut() {
         long now = clock.now();
-        Stream.concat(unusedClients.stream(), usedClients.stream()).toList()
-                .forEach(c -> c.closeIfTimedOut(now, REQUEST_TIMEOUT_NS, RESPONSE_TIMEOUT_NS,
-                        IDLE_TIMEOUT_NS));
+        allClients().forEach(c -> c.closeIfTimedOut(now, REQUEST_TIMEOUT_NS, RESPONSE_TIMEOUT_NS,
+                IDLE_TIMEOUT_NS));
     }
 
     private void logStats() {
@@ -147,12 +150,52 @@
         draining = true;
     }
 
-    /** Closes the listener and all connections without an open request. */
+    /** Closes the listener, once all connections in its backlog are accepted, and the idle connections. */
     void close() {
+        acceptBacklog();
         listener.close();
+        lastResponseAt = clock.now();
         logStats();
-        Stream.concat(unusedClients.stream(), usedClients.stream()).filter(ClientConnection::isIdle).toList()
-                .forEach(ClientConnection::closeGracefully);
+        closeIdle();
+    }
+
+    /** Accepts the connections that clients have opened: closing the listener would reset them. */
+    private void acceptBacklog() {
+        int acceptedBefore;
+        int reads = 0;
+        do {
+            acceptedBefore = connectionStats.accepted;
+            Sockets.readPending(listener);
+            reads++;
+        } while (connectionStats.accepted > acceptedBefore && reads < BACKLOG);
+    }
+
+    /** Closes each connection without a request, whether the request has been read or not. */
+    void closeIdle() {
+        allClients().forEach(ClientConnection::closeIfIdle);
+    }
+
+    /** Refuses each request of which a part is missing. */
+    void refusePartialRequests() {
+        for (ClientConnection client : List.copyOf(partialRequests)) {
+            if (client.checkConnected() && partialRequests.remove(client)) {
+                client.refusePartialRequest();
+            }
+        }
+    }
+
+    /** Whether the proxy has closed its side of every open connection: it owes no response to any client. */
+    boolean hasEndedAll() {
+        return allClients().stream().allMatch(ClientConnection::hasEnded);
+    }
+
+    /** Returns when the last response began to be written, or the listener was closed. */
+    long lastResponseAt() {
+        return lastResponseAt;
+    }
+
+    private List<ClientConnection> allClients() {
+        return Stream.concat(unusedClients.stream(), usedClients.stream()).toList();
     }
 
     /**
@@ -265,6 +308,7 @@
 
     @Override
     public boolean onResponse(ClientConnection client, int status) {
+        lastResponseAt = clock.now();
         if (client.acceptedRequest() != null) {
             ids.close(client.acceptedRequest().id());
         } else if (status >= 400 && status < 500) {
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -4,6 +4,7 @@
 import dewstage.Balancer;
 import dewstage.Balancer.ListKind;
 import dewstage.Balancer.Outcome;
+import dewstage.Balancer.Profile;
 import dewstage.Balancer.Report;
 import dewstage.Balancer.Request;
 import dewstage.Balancer.Status;
@@ -49,15 +50,6 @@
     private static final double MAX_MARGIN_FRACTION = 0.25;
     /** Time to wait for discovery's first list before serving on the configured one. */
     static final long DISCOVERY_WAIT_MS = 3000;
-    /** Time from SIGTERM to the close of the listener; clients keep connecting for up to 0.4 s. */
-    private static final long DRAIN_ACCEPT_MS = 550;
-    /**
-     * Time after the close of the listener, or after the last response, within which pending requests have
-     * been received and clients have read their responses, which they show by closing. Connections that are
-     * open when the process exits may be reset.
-     */
-    private static final long DRAIN_SLACK_NS = 100_000_000L;
-    private static final long DRAIN_POLL_INTERVAL_MS = 10;
 
     /**
      * Number of requests in the rehearsal. With fewer than about 100, up to a fifth of the requests in the
@@ -113,15 +105,13 @@
     private final Map<Integer, Exchange> exchanges = new HashMap<>();
     private final Map<ClientConnection, Exchange> exchangesByClient = new IdentityHashMap<>();
     private final Queue<Event> events = new ArrayDeque<>();
-    private final CompletableFuture<Void> drained = new CompletableFuture<>();
+    private final Drain drain;
     private final boolean watchesDiscovery;
     private boolean delivering;
     private boolean hasList;
     /** Whether the list was reliable at the last check. */
     private boolean listWasReliable = true;
     private int lastTicket;
-    /** When a request last completed, or the listener was closed. */
-    private long lastCompletedAt;
     private ChannelFuture listening;
 
     /** Must be called on the loop. Without watchesDiscovery the module's subscriptions are ignored. */
@@ -145,6 +135,8 @@
         this.frontend = new Frontend(config, clock, lag, sockets.clients,
                 new MemoryShare(heapShares.requestBytes()), responseMemory,
                 new RequestIds(heapShares.requestIdBytes()), this);
+        this.drain = new Drain(loop, clock, frontend, () -> !exchangesByClient.isEmpty(),
+                config.settings().profiles().stream().mapToLong(Profile::giveUpNs).max().orElse(0));
         this.discovery = new Discovery(loop, config, this, Discovery.STALL_TIMEOUT_MS,
                 heapShares.listBytes(), freshness);
         this.backends = new Backends(loop, clock, sockets.backends, new ResponseMemory(responseMemory),
@@ -297,25 +289,7 @@
 
     /** Answers all open and still arriving requests; the future completes once every one is answered. */
     CompletableFuture<Void> drain() {
-        loop.execute(() -> {
-            Log.line("draining");
-            frontend.drain();
-            loop.schedule(() -> {
-                lastCompletedAt = clock.now();
-                PeriodicTasks.schedule(loop, "drain", this::completeDrainWhenEmpty, 0,
-                        DRAIN_POLL_INTERVAL_MS);
-                frontend.close();
-            }, DRAIN_ACCEPT_MS, TimeUnit.MILLISECONDS);
-        });
-        return drained;
-    }
-
-    private void completeDrainWhenEmpty() {
-        if (!drained.isDone() && exchangesByClient.isEmpty() && (frontend.openConnections() == 0
-                || clock.now() - lastCompletedAt >= DRAIN_SLACK_NS)) {
-            Log.line("drained");
-            drained.complete(null);
-        }
+        return drain.start();
     }
 
     @Override
@@ -412,7 +386,7 @@
         long excessStallNs = Math.max(0, lag.expectedStallNs(now) - LOST_AFTER_NS);
         long marginNs =
                 (long) Math.min(metadata.timeoutNs() * MAX_MARGIN_FRACTION, MARGIN_NS + excessStallNs);
-        long clientDeadline = arrivedAt + metadata.timeoutNs();
+        long clientDeadline = Math.min(arrivedAt + metadata.timeoutNs(), drain.latestDeadline(now));
         Exchange exchange =
                 new Exchange(lastTicket, client, request, clientDeadline - marginNs, clientDeadline);
         exchange.backstopTimer = loop.schedule(() -> onOverdue(exchange),
@@ -517,7 +491,6 @@
     private void complete(Exchange exchange) {
         exchange.completed = true;
         exchange.request = null;
-        lastCompletedAt = clock.now();
         exchange.backstopTimer.cancel(false);
         exchangesByClient.remove(exchange.client);
     }
--- a/src/main/java/dewstage/proxy/Sockets.java
+++ b/src/main/java/dewstage/proxy/Sockets.java
@@ -1,7 +1,9 @@
 package dewstage.proxy;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.nio.AbstractNioChannel;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -51,6 +53,16 @@
         }
     }
 
+    /**
+     * Reads what has arrived on a channel since the loop's last select; a listener accepts connections. The
+     * in-process channels of a rehearsal have no unread data.
+     */
+    static void readPending(Channel channel) {
+        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket && channel.isActive()) {
+            socket.read();
+        }
+    }
+
     /** Active clients need at most a third of all descriptors; the rest is for clients that send nothing. */
     final Share clients;
     final Share backends;
