Look at the sockets once more before the event loop runs timers that are due

Cause, by evidence: a program with the proxy's event loop, one timer and one socket, stopped by SIGSTOP while a byte comes and the timer becomes due, prints "timer, read". A selector interrupted by the stop reports no socket once its timeout has passed; the loop runs the timers and reads in its next iteration.

Change: SelectBeforeTimersIoHandler selects again without blocking while a timer is due, at most four times, before the loop runs timers. It costs one system call in an iteration with a due timer, and none in others. Covers Netty's own connect timeout as well.

--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -212,7 +212,8 @@
 
     private static EventLoop newLoop(LoopThreadFactory loopThread) {
         return new MultiThreadIoEventLoopGroup(1, loopThread,
-                RecoveringIoHandler.wrap(NonPollingIoHandler.wrap(NioIoHandler.newFactory()))).next();
+                RecoveringIoHandler.wrap(NonPollingIoHandler.wrap(
+                        SelectBeforeTimersIoHandler.wrap(NioIoHandler.newFactory())))).next();
     }
 
     static Proxy start(Config config, EventLoop loop, Balancer.Factory factory, Clock clock)
