Read a connection to a backend before it is used again

Cause: Backends.pollReusable and startAfterDelay asked only whether the channel is active, which says nothing about bytes that lie unread.

Change: Connection.isUnused reads the socket right before the next request is written; a byte or a close there closes the connection, and another one is used.

Tests: connectionWithAnUnreadDuplicateResponseIsNotReused and connectionWithADuplicateResponseUnreadAfterTheReuseDelayIsNotReused, with the order forced on the loop; both failed before (no new connection was made), pass now.

--- a/src/main/java/dewstage/proxy/Backends.java
+++ b/src/main/java/dewstage/proxy/Backends.java
@@ -228,7 +228,7 @@
         Connection connection = backend.idleConnections.peekFirst();
         // Also checked here: after a stall of the loop the sweep is late, and the backend may be about to
         // close the connection.
-        while (connection != null && !(isFresh(connection) && connection.channel.isActive())) {
+        while (connection != null && !(isFresh(connection) && connection.isUnused())) {
             removeFromIdle(connection).channel.close();
             connection = backend.idleConnections.peekFirst();
         }
@@ -287,7 +287,7 @@
         if (attempt.completed || !attempt.stillWanted.getAsBoolean()) {
             return;
         }
-        if (attempt.connection.channel.isActive()) {
+        if (attempt.connection.isUnused()) {
             attempt.connection.start(attempt);
         } else {
             connectNew(attempt); // closed during the delay; nothing of this attempt was written
@@ -433,6 +433,15 @@
             this.backend = backend;
         }
 
+        /**
+         * Whether the connection is open and nothing has arrived since its last response. Reads first, since a
+         * second response that is still unread would be taken for the response to the next request.
+         */
+        boolean isUnused() {
+            Sockets.readPending(channel);
+            return channel.isActive();
+        }
+
         void start(Attempt attempt) {
             attempt.connection = this;
             // The backend may have started draining or disappeared while the connection was established.
--- a/src/test/java/dewstage/proxy/BackendsTest.java
+++ b/src/test/java/dewstage/proxy/BackendsTest.java
@@ -199,6 +199,60 @@
     }
 
     /** An attempt that is cancelled during the reuse delay must not be written after it. */
+    private static void writeUnchecked(Peer.Wire connection, String text) {
+        try {
+            connection.write(text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Has the request that waits in the module served on the next new connection. */
+    private void assertServedOnNewConnection(Peer.Wire client) throws Exception {
+        Peer.Wire connection = backend.accept();
+        connection.read();
+        connection.write(OK.replace("body", "next"));
+        assertTrue(client.read().endsWith("\r\n\r\nnext"));
+    }
+
+    /** A duplicate response that lay unread was taken for the response to the next request. */
+    @Test
+    void connectionWithAnUnreadDuplicateResponseIsNotReused() throws Exception {
+        try (Peer.Wire client = setup.client()) {
+            Peer.Wire first = serveOnNewConnection(client);
+            setup.clock.advance(Backends.REUSE_DELAY_NS);
+            client.write(Setup.get());
+            Request next = setup.awaitRequest();
+            setup.runOnLoop(() -> {
+                writeUnchecked(first, OK);
+                setup.actions.send(next.ticket(), server, 0);
+            });
+            assertServedOnNewConnection(client);
+        }
+    }
+
+    /** As above, with a duplicate that arrives at the end of the delay before the reuse. */
+    @Test
+    void connectionWithADuplicateResponseUnreadAfterTheReuseDelayIsNotReused() throws Exception {
+        try (Peer.Wire client = setup.client()) {
+            setup.clock.freeze();
+            Peer.Wire first = serveOnNewConnection(client);
+            client.write(Setup.get());
+            Request next = setup.awaitRequest();
+            setup.runOnLoop(() -> {
+                long startedAt = System.nanoTime();
+                // Due first and in the same iteration of the loop, so that nothing is read in between.
+                setup.loop.schedule(() -> writeUnchecked(first, OK), Backends.REUSE_DELAY_NS,
+                        TimeUnit.NANOSECONDS);
+                setup.actions.send(next.ticket(), server, 0);
+                while (System.nanoTime() - startedAt <= 2 * Backends.REUSE_DELAY_NS) {
+                    Thread.onSpinWait();
+                }
+            });
+            assertServedOnNewConnection(client);
+        }
+    }
+
     @Test
     void attemptCancelledDuringTheReuseDelayIsNotWritten() throws Exception {
         try (Peer.Wire client = setup.client()) {
