--- a/src/main/java/dewstage/proxy/Backends.java
+++ b/src/main/java/dewstage/proxy/Backends.java
@@ -434,8 +434,8 @@
         }
 
         /**
-         * Whether the connection is open and nothing has arrived since its last response. Reads first, since a
-         * second response that is still unread would be taken for the response to the next request.
+         * Whether the connection is open and nothing has arrived since its last response. It is read first: a
+         * second response that lies unread would be taken for the response to the next request.
          */
         boolean isUnused() {
             Sockets.readPending(channel);
