Reject bodies of very many small chunks, and report memory only when it changes

The memory limit held (102 MB of 128).

Cause: each chunk costs a message's work, and a report of the connection's memory was made for each; an iteration of the loop reads up to 128 KB, 21,000 chunks, of every connection. Ruled out: memory, descriptors (330 of 576), the amount of bytes (SLOW_BODY and STOPPED_BODY delay nobody).

Change: the memory is reported when it has changed; a body of more than 1,024 parts with fewer than 8 bytes on average gets 413.

--- a/src/main/java/dewstage/proxy/ClientConnection.java
+++ b/src/main/java/dewstage/proxy/ClientConnection.java
@@ -53,6 +53,9 @@
 
     /** Maximum number of queued requests per connection: enough for clients that pipeline. */
     static final int MAX_PIPELINED_REQUESTS = 16;
+    /** A body of more parts than this must have parts of some size: each costs as much as a short request. */
+    private static final int MAX_SMALL_CHUNKS = 1024;
+    private static final int MIN_MEAN_CHUNK_BYTES = 8;
     private static final int REFUSED_STATUS = 503;
     private static final String REFUSED_TEXT = "too many requests in memory, try again";
 
@@ -73,6 +76,9 @@
     private final Deque<QueuedRequest> queue = new ArrayDeque<>();
     private HttpRequest requestHead;
     private ByteBuf body;
+    /** Parts in which the body has been received so far. */
+    private int chunkCount;
+    private int reportedBodyCapacity;
     /** Memory of the request that is being handled. */
     private long openRequestBytes;
     private ClientRequest acceptedRequest;
@@ -208,7 +214,12 @@
                 rejectAndClose(413, "the body is too long");
                 return;
             }
+            if (chunkCount > MAX_SMALL_CHUNKS && body.writerIndex() < MIN_MEAN_CHUNK_BYTES * chunkCount) {
+                rejectAndClose(413, "too many chunks");
+                return;
+            }
             body.writeBytes(content.content());
+            chunkCount++;
         }
         if (message instanceof LastHttpContent) {
             byte[] bytes = HeapBuffers.toBytes(body);
@@ -221,7 +232,16 @@
             decoder.requestComplete();
         }
         if (message instanceof HttpContent) {
-            onRequestBytes(); // behind a head alone the rest may have been read already
+            onContent();
+        }
+    }
+
+    /** Reports received content if the memory for it has changed; a read may hold thousands of chunks. */
+    private void onContent() {
+        int newCapacity = body == null ? 0 : body.capacity();
+        if (newCapacity != reportedBodyCapacity) {
+            reportedBodyCapacity = newCapacity;
+            onRequestBytes();
         }
     }
 
@@ -282,6 +302,8 @@
                         HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
             requestHead = receivedHead;
+            chunkCount = 0;
+            reportedBodyCapacity = 0;
             body = HeapBuffers.newBody(receivedHead);
             return true;
         }
--- a/src/test/java/dewstage/faults/FaultRun.java
+++ b/src/test/java/dewstage/faults/FaultRun.java
@@ -29,6 +29,7 @@
     private final List<SteadyClient> clients = new ArrayList<>();
     private final boolean pushed;
     private final int proxies;
+    private ProcessLimits limits = ProcessLimits.DEFAULT;
 
     /** Starts servers and discovery, but no proxy yet. */
     FaultRun(Path folder, int proxies, int serverCount, boolean pushed, Duration callTime, boolean serveScript) {
@@ -43,6 +44,11 @@
         this.discovery = new QueuedDiscovery(list, proxies, callTime);
     }
 
+    /** Sets the limits of the proxies that are started later. */
+    void setLimits(ProcessLimits limits) {
+        this.limits = limits;
+    }
+
     ProxySettings settings(int proxy) {
         return settings(proxy, discovery);
     }
@@ -55,7 +61,8 @@
                 pushed,
                 source.hostPort(proxy),
                 DRAIN_GRACE,
-                list.fullList().trim());
+                list.fullList().trim(),
+                limits);
     }
 
     /** Starts all proxies at once, and a client for each. */
@@ -72,6 +79,11 @@
         TimeUnit.NANOSECONDS.sleep(duration.toNanos());
     }
 
+    /** The requests that servers have received so far. */
+    List<DrainRule.ServerRequest> requests() {
+        return List.copyOf(requests);
+    }
+
     /** Describes the first violations of {@link DrainRule} so far; empty if there are none. */
     List<String> drainViolations() {
         return drainViolations(discovery);
--- a/src/test/java/dewstage/faults/HttpAnswer.java
+++ b/src/test/java/dewstage/faults/HttpAnswer.java
@@ -28,6 +28,11 @@
         return body.length < length ? "" : text + new String(body, StandardCharsets.US_ASCII);
     }
 
+    /** Returns the status of an answer that is not empty. */
+    static int status(String answer) {
+        return Integer.parseInt(answer.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
+    }
+
     private static int contentLength(String head) {
         return head.toLowerCase(Locale.ROOT)
                 .lines()
--- a/src/test/java/dewstage/faults/ProxyFleet.java
+++ b/src/test/java/dewstage/faults/ProxyFleet.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** Proxy processes, each with a configuration and a log of its own. All are killed when the fleet is closed. */
 final class ProxyFleet implements AutoCloseable {
@@ -75,6 +76,17 @@
         return processes.get(proxy).isAlive();
     }
 
+    /** The most resident memory that a process has had, in KB. */
+    long peakResidentKb(int proxy) throws IOException {
+        try (Stream<String> status =
+                Files.lines(Path.of("/proc/" + processes.get(proxy).pid() + "/status"))) {
+            return status.filter(line -> line.startsWith("VmHWM:"))
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
+                    .findFirst()
+                    .orElse(0);
+        }
+    }
+
     int size() {
         return processes.size();
     }
--- a/src/test/java/dewstage/faults/QueueScenario.java
+++ b/src/test/java/dewstage/faults/QueueScenario.java
@@ -77,8 +77,14 @@
             this.discovery = discovery;
             Path file = Files.createTempFile("hollow", ".json");
             for (int i = 0; i < proxies; i++) {
-                ProxySettings settings =
-                        new ProxySettings(i, proxies, pushed, discovery.hostPort(i), Duration.ofMillis(1500), "null");
+                ProxySettings settings = new ProxySettings(
+                        i,
+                        proxies,
+                        pushed,
+                        discovery.hostPort(i),
+                        Duration.ofMillis(1500),
+                        "null",
+                        ProcessLimits.DEFAULT);
                 Files.writeString(file, settings.json());
                 configs.add(Config.read(Map.of("NODE_CONFIG", file.toString())));
                 loops.add(group.next());
--- a/src/test/java/dewstage/faults/SteadyClient.java
+++ b/src/test/java/dewstage/faults/SteadyClient.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
@@ -18,7 +19,7 @@
     /** An answer that arrives later than this after the timeout counts as lost. */
     private static final Duration MAX_LATENESS = Duration.ofMillis(500);
 
-    private final int proxy;
+    private final String idPrefix;
     private final InetSocketAddress address;
     private final Duration interval;
     private final Queue<Answer> answers = new ConcurrentLinkedQueue<>();
@@ -28,7 +29,12 @@
     private int requestCount;
 
     SteadyClient(int proxy, InetSocketAddress address, Duration interval) {
-        this.proxy = proxy;
+        this(proxy, address, interval, "");
+    }
+
+    /** {@code idPrefix} tells the requests of several clients of a proxy apart. */
+    SteadyClient(int proxy, InetSocketAddress address, Duration interval, String idPrefix) {
+        this.idPrefix = proxy + "-" + idPrefix;
         this.address = address;
         this.interval = interval;
         thread.setDaemon(true);
@@ -72,7 +78,7 @@
     }
 
     private void sendRequest() {
-        String id = proxy + "-" + ++requestCount;
+        String id = idPrefix + ++requestCount;
         long startNs = System.nanoTime();
         int status = 0;
         try {
@@ -89,27 +95,15 @@
     }
 
     private int readStatus(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int next = in.read();
-            if (next < 0) {
-                disconnect();
-                return 0;
-            }
-            head.append((char) next);
+        String answer = HttpAnswer.read(in);
+        if (answer.isEmpty()) {
+            disconnect();
+            return 0;
         }
-        String text = head.toString().toLowerCase(java.util.Locale.ROOT);
-        int length = text.lines()
-                .filter(l -> l.startsWith("content-length:"))
-                .mapToInt(l ->
-                        Integer.parseInt(l.substring("content-length:".length()).trim()))
-                .findFirst()
-                .orElse(0);
-        in.readNBytes(length);
-        if (text.contains("connection: close")) {
+        if (answer.toLowerCase(Locale.ROOT).contains("connection: close")) {
             disconnect();
         }
-        return Integer.parseInt(text.substring("http/1.1 ".length(), "http/1.1 200".length()));
+        return HttpAnswer.status(answer);
     }
 
     private void disconnect() {
--- a/src/test/java/dewstage/proxy/FrontendTest.java
+++ b/src/test/java/dewstage/proxy/FrontendTest.java
@@ -312,6 +312,26 @@
         }
     }
 
+    private static String chunkedRequest(int chunks, int chunkBytes) {
+        String chunk = Integer.toHexString(chunkBytes) + "\r\n" + "x".repeat(chunkBytes) + "\r\n";
+        return Setup.get("Request-Timeout: 30\r\nTransfer-Encoding: chunked\r\n")
+                .replace("GET /look", "POST /pay") + chunk.repeat(chunks) + "0\r\n\r\n";
+    }
+
+    /** A body of tens of thousands of chunks of one byte kept the event loop busy for tens of ms. */
+    @ParameterizedTest
+    @CsvSource({"1000, 1, true", "2000, 16, true", "1100, 1, false", "4000, 6, false"})
+    void bodyOfVeryManySmallChunksIsRejected(int chunks, int chunkBytes, boolean isAccepted)
+            throws Exception {
+        try (Peer.Wire client = setup.client().write(chunkedRequest(chunks, chunkBytes))) {
+            if (isAccepted) {
+                setup.awaitRequest();
+            } else {
+                assertTrue(client.read().startsWith("HTTP/1.1 413 "));
+            }
+        }
+    }
+
     /** Closing a socket with unread data would reset the connection and could discard the response. */
     @Test
     void closingConnectionIsNotResetByUnreadClientData() throws Exception {
