Remember the ids of requests that may have run apart from all others

Cause: RequestIds kept the ids of all ended requests in one bounded set, so requests that were never forwarded displaced those that had run.

Change: half of the memory is for ids of requests of which an attempt was started (ClientConnection.markForwarded), half for the others. Both are rejected as before.

Tests: RequestMemoryTest.idOfAClientThatLeftIsRememberedWhileManyRequestsAreRefused, failed before (the repeated request was accepted), passes now; RequestIdsTest.idsOfRequestsThatNeverRanDisplaceNone.

--- a/src/main/java/dewstage/proxy/ClientConnection.java
+++ b/src/main/java/dewstage/proxy/ClientConnection.java
@@ -84,6 +84,7 @@
     /** Memory of the request that is being handled. */
     private long openRequestBytes;
     private ClientRequest acceptedRequest;
+    private boolean isForwarded;
     /** A request is being handled and has no response yet. */
     private boolean busy;
     /** The last response is not yet written to the socket. */
@@ -140,6 +141,17 @@
     /** Records that the current request is valid and has been passed to the proxy. */
     void markAccepted(ClientRequest request) {
         acceptedRequest = request;
+        isForwarded = false;
+    }
+
+    /** Records that an attempt of the accepted request is started. */
+    void markForwarded() {
+        isForwarded = true;
+    }
+
+    /** Whether an attempt of the accepted request was started. */
+    boolean isForwarded() {
+        return isForwarded;
     }
 
     /** Returns the accepted request that has no response yet, or null. */
--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -310,7 +310,7 @@
     public boolean onResponse(ClientConnection client, int status) {
         lastResponseAt = clock.now();
         if (client.acceptedRequest() != null) {
-            ids.close(client.acceptedRequest().id());
+            ids.close(client.acceptedRequest().id(), client.isForwarded());
         } else if (status >= 400 && status < 500) {
             rejectedByStatus.merge(status, 1, Integer::sum);
         }
@@ -326,7 +326,7 @@
         usedClients.remove(client);
         partialRequests.remove(client);
         if (client.acceptedRequest() != null) {
-            ids.close(client.acceptedRequest().id());
+            ids.close(client.acceptedRequest().id(), client.isForwarded());
             requestHandler.onClientGone(client);
         }
     }
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -543,6 +543,7 @@
         if (LOG_ATTEMPTS) {
             logAttempt(exchange, attemptNumber, server);
         }
+        exchange.client.markForwarded();
         Backends.Attempt started = null;
         try {
             started = backends.send(server, exchange.request,
--- a/src/test/java/dewstage/proxy/RequestIdsTest.java
+++ b/src/test/java/dewstage/proxy/RequestIdsTest.java
@@ -11,7 +11,7 @@
 
     private static void openAndClose(RequestIds ids, String id) {
         assertTrue(ids.tryOpen(id), id);
-        ids.close(id);
+        ids.close(id, true);
     }
 
     @Test
@@ -19,7 +19,7 @@
         RequestIds ids = new RequestIds(MAX_BYTES);
         assertTrue(ids.tryOpen("a"));
         assertFalse(ids.tryOpen("a"));
-        ids.close("a");
+        ids.close("a", true);
         ids.expireClosed();
         assertFalse(ids.tryOpen("a"));
         ids.expireClosed();
@@ -39,4 +39,17 @@
             assertFalse(ids.tryOpen("id-" + i));
         }
     }
+
+    /** Requests that were refused in great numbers displaced the ids of those that had run. */
+    @Test
+    void idsOfRequestsThatNeverRanDisplaceNone() {
+        RequestIds ids = new RequestIds(0);
+        assertTrue(ids.tryOpen("ran"));
+        ids.close("ran", true);
+        for (int i = 0; i < 1000; i++) {
+            assertTrue(ids.tryOpen("refused" + i));
+            ids.close("refused" + i, false);
+        }
+        assertFalse(ids.tryOpen("ran"));
+    }
 }
--- a/src/test/java/dewstage/proxy/RequestMemoryTest.java
+++ b/src/test/java/dewstage/proxy/RequestMemoryTest.java
@@ -1,6 +1,7 @@
 package dewstage.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dewstage.Balancer.Request;
@@ -184,4 +185,27 @@
             assertEquals(0, setup.events.stream().filter(event -> event.kind().equals("request")).count());
         }
     }
+
+    /** An id ran twice: refused requests displaced it from the ids that are remembered. */
+    @Test
+    void idOfAClientThatLeftIsRememberedWhileManyRequestsAreRefused() throws Exception {
+        setup.close();
+        setup = new Setup().start(Setup.config(discovery, backend),
+                new HeapShares(1 << 20, REQUEST_BYTES, REQUEST_BYTES, 0));
+        server = setup.backendId();
+        String repeated = Setup.get();
+        try (Peer.Wire leaving = setup.client().write(repeated)) {
+            Request request = setup.awaitRequest();
+            setup.runOnLoop(() -> setup.actions.send(request.ticket(), server, 0));
+            backend.accept().read();
+            assertFalse(leaving.hasInput());
+        }
+        setup.awaitEvent("withdrawn", Integer.class);
+        try (Peer.Wire other = setup.client(); Peer.Wire again = setup.client()) {
+            for (int i = 0; i < 10; i++) {
+                failRequest(other.write(Setup.get()), setup.awaitRequest());
+            }
+            assertTrue(again.write(repeated).read().startsWith("HTTP/1.1 409 "));
+        }
+    }
 }
