Take the first heartbeat of the event loop when the listener opens

Traced: LoopLag knows no stall before its first heartbeat, which was a timer that is due at once. Since sockets are looked at before timers run, so a client can be accepted and answered before it; a stall right then was not seen.

--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -105,8 +105,9 @@
                     }
                 }).bind(config.listen());
         listener = bound.channel();
-        PeriodicTasks.schedule(loop, "heartbeat", () -> lag.heartbeat(clock.now()), 0,
-                TimeUnit.NANOSECONDS.toMillis(LoopLag.HEARTBEAT_INTERVAL_NS));
+        lag.heartbeat(clock.now()); // before any request is read
+        long heartbeatMs = TimeUnit.NANOSECONDS.toMillis(LoopLag.HEARTBEAT_INTERVAL_NS);
+        PeriodicTasks.schedule(loop, "heartbeat", () -> lag.heartbeat(clock.now()), heartbeatMs, heartbeatMs);
         PeriodicTasks.schedule(loop, "close of overdue connections", this::closeTimedOut, SWEEP_INTERVAL_MS,
                 SWEEP_INTERVAL_MS);
         PeriodicTasks.schedule(loop, "expiry of ids", ids::expireClosed, ID_EXPIRY_MS, ID_EXPIRY_MS);
