--- a/src/test/java/dewstage/proxy/BackendsTest.java
+++ b/src/test/java/dewstage/proxy/BackendsTest.java
@@ -184,17 +184,10 @@
             Request next = setup.awaitRequest();
             setup.runOnLoop(() -> {
                 setup.actions.send(next.ticket(), server, 0);
-                try {
-                    first.write(OK); // on the loop, so that it is readable at the next select
-                } catch (IOException e) {
-                    throw new UncheckedIOException(e);
-                }
+                writeUnchecked(first, OK); // on the loop, so that it is readable at the next select
             });
             assertTrue(first.awaitClose());
-            Peer.Wire second = backend.accept();
-            second.read();
-            second.write(OK.replace("body", "next"));
-            assertTrue(client.read().endsWith("\r\n\r\nnext"));
+            assertServedOnNewConnection(client);
         }
     }
 
--- a/src/test/java/dewstage/proxy/DrainTest.java
+++ b/src/test/java/dewstage/proxy/DrainTest.java
@@ -1,15 +1,18 @@
 package dewstage.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dewstage.Balancer.Request;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.Test;
 
 /** A drain answers every request that clients have sent or are sending when it begins. */
@@ -132,4 +135,74 @@
             throw new AssertionError("a connection was reset", e);
         }
     }
+
+    /** Closing a socket with unread data would reset the connection and could discard the response. */
+    @Test
+    void closingConnectionIsNotResetByUnreadClientData() throws Exception {
+        CompletableFuture<Void> drained;
+        try (Peer.Wire idle = setup.client(); Peer.Wire active = setup.client()) {
+            idle.write("GET /none HTTP/1.1\r\n\r\n");
+            assertTrue(idle.read().startsWith("HTTP/1.1 404 "));
+            active.write(Setup.get());
+            Request request = setup.awaitRequest();
+            drained = setup.proxy.drain();
+            setup.runOnLoop(() -> {
+                try {
+                    active.write(Setup.get()); // on the loop, so that it is unread when the connection closes
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+                setup.actions.fail(request.ticket());
+            });
+            assertTrue(active.read().contains("connection: close\r\n"));
+            assertTrue(active.awaitCleanClose() && idle.awaitCleanClose());
+            for (int i = 0; i < 3; i++) {
+                setup.runOnLoop(() -> { }); // closed sockets are released at the next select
+            }
+            for (Peer.Wire connection : List.of(active, idle)) {
+                // on a reset connection the second write would fail
+                connection.write(Setup.get()).write(Setup.get());
+            }
+            assertTrue(setup.events.stream().noneMatch(event -> event.kind().equals("request")));
+        }
+        drained.get(20, TimeUnit.SECONDS);
+    }
+
+    /** The process exits after the drain, which may reset connections with unread responses. */
+    @Test
+    void drainLastsUntilItsResponsesAreRead() throws Exception {
+        CompletableFuture<Void> drained;
+        try (Peer.Wire client = setup.client()) {
+            client.write(Setup.get());
+            Request request = setup.awaitRequest();
+            setup.clock.freeze();
+            drained = setup.proxy.drain();
+            setup.runOnLoop(() -> setup.actions.fail(request.ticket()));
+            assertTrue(client.read().startsWith("HTTP/1.1 502 "));
+            CompletableFuture<Void> stillOpen = drained;
+            assertThrows(TimeoutException.class, () -> stillOpen.get(1, TimeUnit.SECONDS));
+        }
+        drained.get(20, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void drainAnswersEarlierAndLaterRequestsAndCompletes() throws Exception {
+        try (Peer.Wire idle = setup.client(); Peer.Wire before = setup.client()) {
+            before.write(Setup.get());
+            Request first = setup.awaitRequest();
+            CompletableFuture<Void> drained = setup.proxy.drain();
+            try (Peer.Wire after = setup.client()) {
+                after.write(Setup.get());
+                Request second = setup.awaitRequest();
+                setup.runOnLoop(() -> setup.actions.fail(second.ticket()));
+                assertTrue(after.read().contains("connection: close\r\n"));
+                assertTrue(after.awaitClose());
+                assertTrue(idle.awaitClose());
+                assertFalse(drained.isDone());
+                setup.runOnLoop(() -> setup.actions.fail(first.ticket()));
+                assertTrue(before.read().contains("connection: close\r\n"));
+            }
+            drained.get(20, TimeUnit.SECONDS);
+        }
+    }
 }
