--- a/src/main/java/dewstage/proxy/NonPollingIoHandler.java
+++ b/src/main/java/dewstage/proxy/NonPollingIoHandler.java
@@ -30,40 +30,24 @@
 
     @Override
     public int run(IoHandlerContext loopContext) {
-        if (roundingContext == null || roundingContext.loopContext != loopContext) {
+        if (roundingContext == null || roundingContext.delegate() != loopContext) {
             roundingContext = new RoundingContext(loopContext);
         }
         return delegate().run(roundingContext);
     }
 
     /** Rounds up the delay until the event loop's next timer to whole milliseconds. */
-    private record RoundingContext(IoHandlerContext loopContext) implements IoHandlerContext {
-        @Override
-        public boolean canBlock() {
-            return loopContext.canBlock();
+    private static final class RoundingContext extends ForwardingIoHandlerContext {
+        private RoundingContext(IoHandlerContext delegate) {
+            super(delegate);
         }
 
         @Override
         public long delayNanos(long now) {
-            long delayNs = loopContext.delayNanos(now);
+            long delayNs = super.delayNanos(now);
             long remainderNs = delayNs % MILLISECOND_NS;
             return delayNs <= 0 || remainderNs == 0 || delayNs > Long.MAX_VALUE - MILLISECOND_NS
                     ? delayNs : delayNs - remainderNs + MILLISECOND_NS;
         }
-
-        @Override
-        public long deadlineNanos() {
-            return loopContext.deadlineNanos();
-        }
-
-        @Override
-        public void reportActiveIoTime(long activeNanos) {
-            loopContext.reportActiveIoTime(activeNanos);
-        }
-
-        @Override
-        public boolean shouldReportActiveIoTime() {
-            return loopContext.shouldReportActiveIoTime();
-        }
     }
 }
--- a/src/main/java/dewstage/proxy/SelectBeforeTimersIoHandler.java
+++ b/src/main/java/dewstage/proxy/SelectBeforeTimersIoHandler.java
@@ -31,7 +31,7 @@
 
     @Override
     public int run(IoHandlerContext loopContext) {
-        if (nonBlockingContext == null || nonBlockingContext.loopContext != loopContext) {
+        if (nonBlockingContext == null || nonBlockingContext.delegate() != loopContext) {
             nonBlockingContext = new NonBlockingContext(loopContext);
         }
         int handled = delegate().run(loopContext);
@@ -48,30 +48,14 @@
     }
 
     /** Makes the selector return at once. */
-    private record NonBlockingContext(IoHandlerContext loopContext) implements IoHandlerContext {
-        @Override
-        public boolean canBlock() {
-            return false;
-        }
-
-        @Override
-        public long delayNanos(long now) {
-            return loopContext.delayNanos(now);
-        }
-
-        @Override
-        public long deadlineNanos() {
-            return loopContext.deadlineNanos();
+    private static final class NonBlockingContext extends ForwardingIoHandlerContext {
+        private NonBlockingContext(IoHandlerContext delegate) {
+            super(delegate);
         }
 
         @Override
-        public void reportActiveIoTime(long activeNanos) {
-            loopContext.reportActiveIoTime(activeNanos);
-        }
-
-        @Override
-        public boolean shouldReportActiveIoTime() {
-            return loopContext.shouldReportActiveIoTime();
+        public boolean canBlock() {
+            return false;
         }
     }
 }
