Count only the parts of a body that came in one read towards the limit of small chunks

Seen on reading again, not by callers: a body of more than 1,024 bytes that a slow client writes in single bytes got 413, since the decoder hands on each read by itself.

Cause and change: the limit is for the work that one read can hold, so a part counts only if it came in the same read as the part before it.

Test: FrontendTest.bodyThatIsWrittenInSingleBytesIsAccepted failed before (the connection was closed), passes now; the four cases of very many small chunks pass unchanged.

--- a/src/main/java/dewstage/proxy/ClientConnection.java
+++ b/src/main/java/dewstage/proxy/ClientConnection.java
@@ -78,8 +78,9 @@
     private final Deque<QueuedRequest> queue = new ArrayDeque<>();
     private HttpRequest requestHead;
     private ByteBuf body;
-    /** Parts in which the body has been received so far. */
+    /** Parts of the body that came in the same read as another one; slowly written ones do not count. */
     private int chunkCount;
+    private int lastContentRead;
     private int reportedBodyCapacity;
     /** Memory of the request that is being handled. */
     private long openRequestBytes;
@@ -239,7 +240,8 @@
                 return;
             }
             body.writeBytes(content.content());
-            chunkCount++;
+            chunkCount += decoder.readCount() == lastContentRead ? 1 : 0;
+            lastContentRead = decoder.readCount();
         }
         if (message instanceof LastHttpContent) {
             byte[] bytes = HeapBuffers.toBytes(body);
--- a/src/test/java/dewstage/proxy/FrontendTest.java
+++ b/src/test/java/dewstage/proxy/FrontendTest.java
@@ -309,6 +309,21 @@
         }
     }
 
+    /** A limit on the parts of a body must not count the reads of a body that is written slowly. */
+    @Test
+    void bodyThatIsWrittenInSingleBytesIsAccepted() throws Exception {
+        int bytes = 1500;
+        try (Peer.Wire client = setup.client()) {
+            client.write(Setup.get("Request-Timeout: 30\r\nContent-Length: " + bytes + "\r\n")
+                    .replace("GET /look", "POST /pay"));
+            for (int i = 0; i < bytes; i++) {
+                client.write("x");
+                setup.runOnLoop(() -> { }); // each byte is read by itself
+            }
+            setup.awaitRequest();
+        }
+    }
+
     private static String chunkedRequest(int chunks, int chunkBytes) {
         String chunk = Integer.toHexString(chunkBytes) + "\r\n" + "x".repeat(chunkBytes) + "\r\n";
         return Setup.get("Request-Timeout: 30\r\nTransfer-Encoding: chunked\r\n")
