Count each complete request of one read towards the memory of requests again

Found on reading again, seen by no caller: of several requests without a body in one read only the last could be refused, since their memory was reported at the end of the read alone. Pipelined heads of very many short fields could go beyond the share.

Cause: onContent reports when the capacity of the body has changed, and these have none. A complete request is reported always now; parts of a body as before.

Test: RequestMemoryTest.eachRequestOfOneReadCountsTowardsTheLimit failed before (1 of several refused), passes now.

--- a/src/main/java/dewstage/proxy/ClientConnection.java
+++ b/src/main/java/dewstage/proxy/ClientConnection.java
@@ -253,16 +253,17 @@
             body = null;
             decoder.requestComplete();
         }
-        if (message instanceof HttpContent) {
+        if (message instanceof LastHttpContent) {
+            onRequestBytes(); // each complete request counts, also of several in one read
+        } else if (message instanceof HttpContent) {
             onContent();
         }
     }
 
     /** Reports received content if the memory for it has changed; a read may hold thousands of chunks. */
     private void onContent() {
-        int newCapacity = body == null ? 0 : body.capacity();
-        if (newCapacity != reportedBodyCapacity) {
-            reportedBodyCapacity = newCapacity;
+        if (body.capacity() != reportedBodyCapacity) {
+            reportedBodyCapacity = body.capacity();
             onRequestBytes();
         }
     }
--- a/src/test/java/dewstage/proxy/RequestMemoryTest.java
+++ b/src/test/java/dewstage/proxy/RequestMemoryTest.java
@@ -186,6 +186,47 @@
         }
     }
 
+    /** Of several requests without a body in one read only the last was refused, however much they used. */
+    @Test
+    void eachRequestOfOneReadCountsTowardsTheLimit() throws Exception {
+        String request = Setup.get("Request-Timeout: 30\r\n" + "a:\r\n".repeat(600));
+        try (Peer.Wire client = setup.client()) {
+            StringBuilder pipelined = new StringBuilder();
+            for (int i = 0; i < 6; i++) {
+                pipelined.append(request.replace("Request-Id: r", "Request-Id: r" + i + "-"));
+            }
+            setup.runOnLoop(() -> writeUnchecked(client, pipelined.toString()));
+            failRequest(client, setup.awaitRequest());
+            int refused = 0;
+            for (int i = 1; i < 6; i++) {
+                String answer = awaitAnswer(client);
+                refused += answer.startsWith("HTTP/1.1 503 ") ? 1 : 0;
+            }
+            assertTrue(refused > 1, refused + " refused");
+        }
+    }
+
+    private static void writeUnchecked(Peer.Wire client, String text) {
+        try {
+            client.write(text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Fails the request if it has been accepted, and returns its answer. */
+    private String awaitAnswer(Peer.Wire client) throws Exception {
+        while (!client.hasInput()) {
+            Setup.ModuleEvent event = setup.events.poll();
+            if (event != null && event.kind().equals("request")) {
+                int ticket = ((Request) event.event()).ticket();
+                setup.runOnLoop(() -> setup.actions.fail(ticket));
+            }
+            Thread.sleep(1);
+        }
+        return client.read();
+    }
+
     /** An id ran twice: refused requests displaced it from the ids that are remembered. */
     @Test
     void idOfAClientThatLeftIsRememberedWhileManyRequestsAreRefused() throws Exception {
