Do not let failed connections confirm the list of a new process with pushed lists

Candidates: (1) the outage extends the configured list; (2) the process takes the start of its wait of 3 s for a confirmation; (3) a list is lost or read late. Excluded: (2) the wait only makes it ready, Proxy.isListReliable asks ListFreshness for each attempt; (3) the record shows no answer of discovery until its return, and the first list brings the drain and ends the sends. (1) stands: the log shows calls 1 to 16 of the new process, all "Connection refused", "confirmed never", and sends.

Cause: ListFreshness.onUnreachable extended the reliable time and set wasEverReliable, also for a list that nothing had confirmed. A refused connection shows that no further change counts as notified, not that none was missed before; pushed lists count from the first moment of a new process. The same cause lay in onWatchEnded: a watch that ended before it had delivered anything began an assumed outage, and the next refused call made the list reliable, pushed or requested.

Change: ListFreshness keeps what is known of the list as a state. An unconfirmed list is extended by failed connections only where lists are requested; only the end of a watch that had confirmed the list counts as the beginning of an outage. The process is still ready after 3 s, refuses requests, and serves once it is answered. The log of a change of reliability names the state.

--- a/src/main/java/dewstage/ListFreshness.java
+++ b/src/main/java/dewstage/ListFreshness.java
@@ -1,12 +1,17 @@
 package dewstage;
 
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Decides how long a proxy may rely on its member list. A proxy counts as notified of a change NOTIFIED_NS
  * after discovery had the change and could be reached, whether or not the notification arrived. A list that
  * was not confirmed for that time plus the drain grace may thus contain servers that must not be sent to.
- * Times are in ns on any monotonic clock.
+ *
+ * <p>During an outage of discovery no further change counts as notified, so a list that was up to date when
+ * the outage began remains reliable. Evidence of an outage says nothing about changes made before it, so it
+ * never makes a list reliable that may have been outdated by then. {@code docs/LIST-RELIANCE.md} has the
+ * reasons. Times are in ns on any monotonic clock.
  */
 public final class ListFreshness {
     /** After this time a proxy counts as notified of a change, if discovery could be reached. */
@@ -19,14 +24,26 @@
     /** Longest time that counts as an outage of discovery; the fleet must keep serving through one. */
     static final long MAX_OUTAGE_NS = TimeUnit.SECONDS.toNanos(30);
 
+    /** What is known of the list and of discovery. */
+    private enum State {
+        /** Discovery has not confirmed the list, which may lack changes made before the process began. */
+        UNCONFIRMED,
+        /** A watch confirms the list, or has ended for a reason that says nothing of discovery. */
+        CONFIRMED,
+        /** Discovery has ended the watch, as it does when it goes down. */
+        WATCH_ENDED
+    }
+
+    /** Whether lists are requested by calls rather than pushed. */
+    private final boolean isOnRequest;
     /** How long the list is reliable after a confirmation, in ns. */
     private final long reliableNs;
     /** How long the list stays reliable after the address of discovery has changed, in ns. */
     private final long reliableAfterAddressChangeNs;
+    private State state = State.UNCONFIRMED;
     private boolean wasEverReliable;
     private long reliableUntilNs;
-    private boolean isOutage;
-    private long outageSinceNs;
+    private long watchEndedAtNs;
 
     /**
      * Begins with a list that nothing has confirmed.
@@ -36,21 +53,27 @@
      *     of later changes; otherwise 0
      */
     public ListFreshness(long drainGraceNs, long askWithinNs) {
-        long notifiedNs = askWithinNs > 0 ? Math.min(NOTIFIED_NS, askWithinNs) : NOTIFIED_NS;
+        this.isOnRequest = askWithinNs > 0;
+        long notifiedNs = isOnRequest ? Math.min(NOTIFIED_NS, askWithinNs) : NOTIFIED_NS;
         this.reliableNs = notifiedNs + drainGraceNs - MARGIN_NS;
         this.reliableAfterAddressChangeNs = ADDRESS_CHANGE_NOTIFIED_NS + drainGraceNs - MARGIN_NS;
     }
 
     /** Records that discovery has confirmed the current list. */
     public void onConfirmed(long now) {
-        isOutage = false;
+        state = State.CONFIRMED;
         extend(now);
     }
 
-    /** Records that discovery has ended a watch that it had answered, as it does when it goes down. */
+    /**
+     * Records that discovery has ended a watch that it had answered, as it does when it goes down. Refused
+     * calls after that count as an outage for a limited time.
+     */
     public void onWatchEnded(long now) {
-        isOutage = true;
-        outageSinceNs = now;
+        if (state == State.CONFIRMED) {
+            state = State.WATCH_ENDED;
+            watchEndedAtNs = now;
+        }
     }
 
     /**
@@ -59,14 +82,20 @@
      * from discovery, or whose watch stalled, has no reason to assume an outage.
      */
     public void onCallRefused(long now) {
-        if (isOutage && now - outageSinceNs < MAX_OUTAGE_NS) {
+        if (state == State.WATCH_ENDED && now - watchEndedAtNs < MAX_OUTAGE_NS) {
             extend(now);
         }
     }
 
-    /** Records that discovery could not be reached; until it can, no change counts as notified. */
+    /**
+     * Records that discovery could not be reached; until it can, no change counts as notified. Pushed changes
+     * count as notified to a new process even if discovery had them only before it went down, so such a
+     * process cannot rely on the list that it was started with.
+     */
     public void onUnreachable(long now) {
-        extend(now);
+        if (state != State.UNCONFIRMED || isOnRequest) {
+            extend(now);
+        }
     }
 
     /** Records that discovery is at another address, from which the list has to be fetched. */
@@ -81,6 +110,11 @@
         return wasEverReliable && now < reliableUntilNs;
     }
 
+    /** Describes what is known of the list, for the log. */
+    public String describeState() {
+        return state.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+    }
+
     private void extend(long now) {
         reliableUntilNs = wasEverReliable ? Math.max(reliableUntilNs, now + reliableNs) : now + reliableNs;
         wasEverReliable = true;
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -48,7 +48,7 @@
     /** A response later than this is accounted as lost; one that is less late merely has no worth. */
     private static final long LOST_AFTER_NS = 500_000_000L;
     private static final double MAX_MARGIN_FRACTION = 0.25;
-    /** Time to wait for discovery's first list before serving on the configured one. */
+    /** Time to wait for discovery's first list before reporting ready without it. */
     static final long DISCOVERY_WAIT_MS = 3000;
 
     /**
@@ -262,7 +262,8 @@
             if (known != null && !known.entries().isEmpty()) {
                 if (!hasList) {
                     Log.line("no list from discovery after " + DISCOVERY_WAIT_MS
-                            + " ms: serving on the configured list, version " + known.version());
+                            + " ms: ready with the configured list, version " + known.version()
+                            + (isListReliable() ? "" : ", refusing requests until discovery confirms it"));
                 }
                 markReady();
             }
@@ -349,7 +350,7 @@
         apply(leaving);
     }
 
-    /** Marks the proxy as ready: it has a member list to serve on. */
+    /** Marks the proxy as ready: it has a member list, which discovery may have yet to confirm. */
     private void markReady() {
         if (!hasList) {
             hasList = true;
@@ -452,8 +453,9 @@
         boolean reliable = !watchesDiscovery || freshness.isReliable(System.nanoTime());
         if (reliable != listWasReliable) {
             listWasReliable = reliable;
-            Log.line("list version " + discovery.version() + ", confirmed " + describeListAge()
-                    + (reliable ? ": reliable" : ": too old, refusing requests"));
+            Log.line("list version " + discovery.version() + ", confirmed " + describeListAge() + ", state "
+                    + freshness.describeState()
+                    + (reliable ? ": reliable" : ": may be outdated, refusing requests"));
         }
         return reliable;
     }
--- /dev/null
+++ b/src/test/java/dewstage/ListFreshnessTest.java
@@ -0,0 +1,76 @@
+package dewstage;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** How long a member list is relied on, by what discovery did last. */
+class ListFreshnessTest {
+    private static final long GRACE_NS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long ASK_WITHIN_NS = TimeUnit.SECONDS.toNanos(10);
+    private static final long RELIABLE_NS = ListFreshness.NOTIFIED_NS + GRACE_NS - ListFreshness.MARGIN_NS;
+    private static final long RETRY_NS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long OUTAGE_NS = TimeUnit.SECONDS.toNanos(60);
+
+    private final ListFreshness pushed = new ListFreshness(GRACE_NS, 0);
+    private final ListFreshness requested = new ListFreshness(GRACE_NS, ASK_WITHIN_NS);
+    private long now = -TimeUnit.SECONDS.toNanos(5); // the origin of the clock is arbitrary
+
+    private void repeatUntil(long endNs, Runnable event) {
+        while (now < endNs) {
+            event.run();
+            now += RETRY_NS;
+        }
+    }
+
+    /** Guards against sends to a draining server by a process that began in an outage (pushed lists). */
+    @Test
+    void unreachableDiscoveryDoesNotConfirmAPushedListOfANewProcess() {
+        repeatUntil(now + OUTAGE_NS, () -> {
+            pushed.onUnreachable(now);
+            assertFalse(pushed.isReliable(now));
+        });
+    }
+
+    @Test
+    void requestedListOfANewProcessIsReliableWhileDiscoveryIsUnreachable() {
+        assertFalse(requested.isReliable(now));
+        repeatUntil(now + OUTAGE_NS, () -> {
+            requested.onUnreachable(now);
+            assertTrue(requested.isReliable(now));
+        });
+    }
+
+    /** Guards against a list that counted as confirmed since a watch had ended without a list. */
+    @Test
+    void watchThatEndedWithoutAListIsNoReasonToAssumeAnOutage() {
+        for (ListFreshness freshness : new ListFreshness[] {pushed, requested}) {
+            freshness.onWatchEnded(now);
+            freshness.onCallRefused(now);
+            assertFalse(freshness.isReliable(now));
+        }
+    }
+
+    @Test
+    void confirmedListIsReliableThroughAnOutage() {
+        for (ListFreshness freshness : new ListFreshness[] {pushed, requested}) {
+            freshness.onConfirmed(now);
+            freshness.onWatchEnded(now);
+            repeatUntil(now + OUTAGE_NS, () -> {
+                freshness.onUnreachable(now);
+                assertTrue(freshness.isReliable(now));
+            });
+        }
+    }
+
+    @Test
+    void confirmedListIsReliableForALimitedTime() {
+        for (ListFreshness freshness : new ListFreshness[] {pushed, requested}) {
+            freshness.onConfirmed(now);
+            assertTrue(freshness.isReliable(now + RELIABLE_NS - 1));
+            assertFalse(freshness.isReliable(now + RELIABLE_NS));
+        }
+    }
+}
--- a/src/test/java/dewstage/faults/FaultRun.java
+++ b/src/test/java/dewstage/faults/FaultRun.java
@@ -10,6 +10,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 /** Real proxy processes with clients, servers and discovery of the harness, on one host and one clock. */
 final class FaultRun implements AutoCloseable {
@@ -29,6 +30,7 @@
     private final List<SteadyClient> clients = new ArrayList<>();
     private final boolean pushed;
     private final int proxies;
+    private final List<DrainRule.ProcessStart> starts = new ArrayList<>();
     private ProcessLimits limits = ProcessLimits.DEFAULT;
 
     /** Starts servers and discovery, but no proxy yet. */
@@ -67,8 +69,14 @@
 
     /** Starts all proxies at once, and a client for each. */
     void start() throws IOException {
+        start(IntStream.range(0, proxies).mapToObj(this::settings).toList());
+    }
+
+    /** As above, with the given settings of each proxy. */
+    void start(List<ProxySettings> settings) throws IOException {
         for (int i = 0; i < proxies; i++) {
-            fleet.start(settings(i));
+            starts.add(new DrainRule.ProcessStart(i, System.nanoTime()));
+            fleet.start(settings.get(i));
         }
         for (int i = 0; i < proxies; i++) {
             clients.add(new SteadyClient(i, fleet.address(i), REQUEST_INTERVAL));
@@ -91,8 +99,18 @@
 
     /** Violations with respect to the lists of the given discovery. */
     List<String> drainViolations(QueuedDiscovery source) {
+        return drainViolations(source, requests());
+    }
+
+    /** Violations of one proxy with respect to the lists of the given discovery. */
+    List<String> drainViolations(int proxy, QueuedDiscovery source) {
+        return drainViolations(
+                source, requests().stream().filter(r -> r.proxy() == proxy).toList());
+    }
+
+    private List<String> drainViolations(QueuedDiscovery source, List<DrainRule.ServerRequest> judged) {
         List<DrainRule.Violation> violations =
-                new DrainRule(DRAIN_GRACE, list, source).violations(List.copyOf(requests));
+                new DrainRule(DRAIN_GRACE, list, source, pushed ? starts : List.of()).violations(judged);
         List<String> messages = new ArrayList<>();
         violations.stream()
                 .limit(MAX_SHOWN)
@@ -123,8 +141,17 @@
 
     /** The share of served requests among those answered since a time by System.nanoTime. */
     double servedShareSince(long fromNs) {
-        List<SteadyClient.Answer> recent =
-                answers().stream().filter(a -> a.atNs() >= fromNs).toList();
+        return servedShare(answers().stream().filter(a -> a.atNs() >= fromNs).toList());
+    }
+
+    /** The share of served requests among those that a proxy answered within a period by System.nanoTime. */
+    double servedShare(int proxy, long fromNs, long toNs) {
+        return servedShare(clients.get(proxy).answers().stream()
+                .filter(a -> a.atNs() >= fromNs && a.atNs() < toNs)
+                .toList());
+    }
+
+    private static double servedShare(List<SteadyClient.Answer> recent) {
         return recent.isEmpty()
                 ? 0
                 : (double) recent.stream().filter(a -> a.status() == 200).count() / recent.size();
--- a/src/test/java/dewstage/faults/HarnessPorts.java
+++ b/src/test/java/dewstage/faults/HarnessPorts.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.time.Duration;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -15,6 +16,8 @@
     private static final int BLOCKS = 10;
     /** More than a run has open at a time. */
     private static final int BLOCK_PORTS = 1_000;
+
+    private static final Duration MAX_RELEASE_TIME = Duration.ofSeconds(5);
     /** Listens at the first port of the block until the process ends, and marks the block as taken. */
     private static final ServerSocket BLOCK_GUARD = claimBlock();
 
@@ -35,6 +38,22 @@
         throw new IllegalStateException("no free port");
     }
 
+    /** Waits until nobody listens at a port: a closed listener keeps it until its selector has run once more. */
+    static void awaitFree(int port) {
+        long deadlineNs = System.nanoTime() + MAX_RELEASE_TIME.toNanos();
+        while (true) {
+            try {
+                listen(port).close();
+                return;
+            } catch (IOException e) {
+                if (System.nanoTime() > deadlineNs) {
+                    throw new IllegalStateException("port " + port + " is not released", e);
+                }
+                Thread.onSpinWait();
+            }
+        }
+    }
+
     private static ServerSocket claimBlock() {
         for (int block = 0; block < BLOCKS; block++) {
             try {
--- a/src/test/java/dewstage/faults/QueuedDiscovery.java
+++ b/src/test/java/dewstage/faults/QueuedDiscovery.java
@@ -59,6 +59,7 @@
 
     private boolean isAnswering;
     private boolean isStalled;
+    private boolean isResetting;
     private long madeCount;
     private long usefulCount;
 
@@ -95,6 +96,16 @@
         runOnLoop(() -> isStalled = stalled);
     }
 
+    /** While resetting, watches and calls end in a reset, and so does each new call once it has been read. */
+    void setResetting(boolean resetting) {
+        runOnLoop(() -> {
+            isResetting = resetting;
+            if (resetting) {
+                new ArrayList<>(openCalls).forEach(Call::reset);
+            }
+        });
+    }
+
     /** Accepts connections, after an outage at the same addresses as before. */
     void up() {
         for (int i = 0; i < ports.size(); i++) {
@@ -108,6 +119,7 @@
     /** Closes all watches and calls and refuses connections. */
     void down() {
         listeners.forEach(l -> l.close().syncUninterruptibly());
+        ports.forEach(HarnessPorts::awaitFree);
         runOnLoop(() -> {
             Reachable last = reachable.remove(reachable.size() - 1);
             reachable.add(new Reachable(last.fromNs(), System.nanoTime()));
@@ -228,6 +240,10 @@
                         new QueryStringDecoder(request.uri()).parameters().get("index");
                 version = index == null ? -1 : Long.parseLong(index.get(0));
                 madeCount++;
+                if (isResetting) {
+                    reset();
+                    return;
+                }
                 waitingCalls.add(this);
                 if (refuseAfter != null) {
                     loop.schedule(this::refuse, refuseAfter.toNanos(), TimeUnit.NANOSECONDS);
@@ -252,6 +268,11 @@
             }
         }
 
+        private void reset() {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.close();
+        }
+
         private void refuse() {
             if (!isWatching && channel.isActive()) {
                 isRefused = true;
--- a/src/test/java/dewstage/proxy/ReadyInTimeTest.java
+++ b/src/test/java/dewstage/proxy/ReadyInTimeTest.java
@@ -19,8 +19,8 @@
 
 /**
  * Nine in ten restarted processes must be ready within 10 s. The start itself waits for the rehearsal and, if
- * discovery is unavailable, before serving on the configured list. These waits may take half of that time;
- * the rest is for the runtime.
+ * discovery is unavailable, before it is ready with the configured list. These waits may take half of that
+ * time; the rest is for the runtime.
  */
 @Timeout(60)
 class ReadyInTimeTest {
