--- a/src/test/java/dewstage/proxy/Setup.java
+++ b/src/test/java/dewstage/proxy/Setup.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import dewstage.Balancer;
 import dewstage.Balancer.Member;
 import dewstage.Balancer.Outcome;
@@ -78,6 +79,12 @@
         }
     }
 
+    /** Makes the settings of a configuration those of lists that are requested by calls. */
+    static void requestLists(JsonNode root, long askWithinMs) {
+        ((ObjectNode) root.path("settings")).put("discovery", "on_request");
+        ((ObjectNode) root.at("/settings/rules")).put("ask_within_ns", askWithinMs * 1_000_000);
+    }
+
     static Config config(Peer discovery, Peer backend) throws ConfigException {
         return Config.parse(json(discovery.hostPort(), backend.hostPort(), 1024, 5000), Map.of());
     }
