After a move of discovery only the new address confirms a pushed list

Candidates: (1) the end of the watch at the old address counts as an outage, so that refused calls to the new one extend the list; (2) failed connections to the new address extend it; (3) the old watch confirms it. Excluded: (3) Discovery.confirm asks for the present address. (1) and (2) stand: MoveToUnavailableDiscoveryTest broke the rule on refused connections and on connections that did not come up, and ListFreshnessTest shows each alone.

Change: the list is unconfirmed after a move, as at a start, until the new address confirms it. Where lists are requested it stays in force while the new address cannot be reached.

The harness counts what a new address has as notified 4 s after the signal.

--- a/src/main/java/dewstage/ListFreshness.java
+++ b/src/main/java/dewstage/ListFreshness.java
@@ -26,7 +26,7 @@
 
     /** What is known of the list and of discovery. */
     private enum State {
-        /** Discovery has not confirmed the list, which may lack changes made before the process began. */
+        /** Discovery has not confirmed the list at its present address: the list may lack older changes. */
         UNCONFIRMED,
         /** A watch confirms the list, or has ended for a reason that says nothing of discovery. */
         CONFIRMED,
@@ -89,8 +89,8 @@
 
     /**
      * Records that discovery could not be reached; until it can, no change counts as notified. Pushed changes
-     * count as notified to a new process even if discovery had them only before it went down, so such a
-     * process cannot rely on the list that it was started with.
+     * count as notified to a new process, or after a change of the address, even if discovery had them only
+     * before it went down, so a list that this address has not confirmed remains unreliable.
      */
     public void onUnreachable(long now) {
         if (state != State.UNCONFIRMED || isOnRequest) {
@@ -98,8 +98,12 @@
         }
     }
 
-    /** Records that discovery is at another address, from which the list has to be fetched. */
+    /**
+     * Records that discovery is at another address, which has to confirm the list. The end of the watch at
+     * the old address thus says nothing.
+     */
     public void onAddressChanged(long now) {
+        state = State.UNCONFIRMED;
         if (wasEverReliable) {
             reliableUntilNs = Math.min(reliableUntilNs, now + reliableAfterAddressChangeNs);
         }
--- a/src/test/java/dewstage/ListFreshnessTest.java
+++ b/src/test/java/dewstage/ListFreshnessTest.java
@@ -11,6 +11,8 @@
     private static final long GRACE_NS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final long ASK_WITHIN_NS = TimeUnit.SECONDS.toNanos(10);
     private static final long RELIABLE_NS = ListFreshness.NOTIFIED_NS + GRACE_NS - ListFreshness.MARGIN_NS;
+    private static final long RELIABLE_AFTER_ADDRESS_CHANGE_NS =
+            ListFreshness.ADDRESS_CHANGE_NOTIFIED_NS + GRACE_NS - ListFreshness.MARGIN_NS;
     private static final long RETRY_NS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final long OUTAGE_NS = TimeUnit.SECONDS.toNanos(60);
 
@@ -53,6 +55,42 @@
         }
     }
 
+    /** Guards against the end of the watch at the old address being taken for an outage of the new one. */
+    @Test
+    void endOfTheOldWatchAfterAnAddressChangeDoesNotExtendReliability() {
+        for (ListFreshness freshness : new ListFreshness[] {pushed, requested}) {
+            freshness.onConfirmed(now);
+            freshness.onAddressChanged(now);
+            freshness.onWatchEnded(now);
+            repeatUntil(now + RELIABLE_AFTER_ADDRESS_CHANGE_NS, () -> {
+                assertTrue(freshness.isReliable(now));
+                freshness.onCallRefused(now);
+            });
+            assertFalse(freshness.isReliable(now));
+        }
+    }
+
+    /** Guards against failed connections to a new address counting as a confirmation of a pushed list. */
+    @Test
+    void unreachableNewAddressDoesNotConfirmAPushedList() {
+        pushed.onConfirmed(now);
+        pushed.onAddressChanged(now);
+        repeatUntil(now + RELIABLE_AFTER_ADDRESS_CHANGE_NS, () -> pushed.onUnreachable(now));
+        assertFalse(pushed.isReliable(now));
+        pushed.onConfirmed(now);
+        assertTrue(pushed.isReliable(now));
+    }
+
+    @Test
+    void requestedListIsReliableWhileTheNewAddressIsUnreachable() {
+        requested.onConfirmed(now);
+        requested.onAddressChanged(now);
+        repeatUntil(now + OUTAGE_NS, () -> {
+            requested.onUnreachable(now);
+            assertTrue(requested.isReliable(now));
+        });
+    }
+
     @Test
     void confirmedListIsReliableThroughAnOutage() {
         for (ListFreshness freshness : new ListFreshness[] {pushed, requested}) {
--- a/src/test/java/dewstage/faults/DrainRule.java
+++ b/src/test/java/dewstage/faults/DrainRule.java
@@ -10,15 +10,15 @@
 /**
  * A proxy must not send the first byte of a request to a server later than the drain grace after it was notified that
  * the server drains or is gone. A change counts as notified when discovery has written it to the proxy, and at the
- * latest when discovery has had it for 6 s while reachable. Where lists are pushed, a change that discovery had while
- * reachable counts as notified to a new process from its start.
+ * latest when discovery has had it for 6 s while reachable. Where lists are pushed, what discovery has also counts as
+ * notified to a new process from its start, and 4 s after a change of the address of discovery.
  */
 final class DrainRule {
     /** A request at a server, with the arrival time of its first byte by System.nanoTime. */
     record ServerRequest(int proxy, String server, String requestId, long atNs) {}
 
-    /** The start of a proxy process to which lists are pushed, by System.nanoTime. */
-    record ProcessStart(int proxy, long atNs) {}
+    /** From this time by System.nanoTime a proxy counts as notified of what discovery had while reachable. */
+    record ListDue(int proxy, long atNs) {}
 
     /** A request that violates the rule, and its delay after the proxy was notified. */
     record Violation(ServerRequest request, Duration delay) {}
@@ -29,14 +29,14 @@
     private final List<ServerList.Change> changes;
     private final List<QueuedDiscovery.Written> written;
     private final List<QueuedDiscovery.Reachable> reachable;
-    private final List<ProcessStart> starts;
+    private final List<ListDue> listsDue;
 
-    DrainRule(Duration grace, ServerList list, QueuedDiscovery discovery, List<ProcessStart> starts) {
+    DrainRule(Duration grace, ServerList list, QueuedDiscovery discovery, List<ListDue> listsDue) {
         this.graceNs = grace.toNanos();
         this.changes = list.changes();
         this.written = discovery.written();
         this.reachable = discovery.reachable();
-        this.starts = List.copyOf(starts);
+        this.listsDue = List.copyOf(listsDue);
     }
 
     List<Violation> violations(List<ServerRequest> requests) {
@@ -78,16 +78,16 @@
                 latestNs = Math.min(latestNs, fromNs + DELIVERY_LIMIT_NS);
             }
         }
-        return Math.min(Math.min(writtenNs, latestNs), notifiedAtStartNs(proxy, change));
+        return Math.min(Math.min(writtenNs, latestNs), firstDueNs(proxy, change));
     }
 
-    /** The first process start after discovery had the change while reachable; MAX_VALUE if there is none. */
-    private long notifiedAtStartNs(int proxy, ServerList.Change change) {
+    /** The first due time after discovery had the change while reachable; MAX_VALUE if there is none. */
+    private long firstDueNs(int proxy, ServerList.Change change) {
         boolean wasReachable = reachable.stream()
                 .anyMatch(period -> period.fromNs() <= change.atNs() && change.atNs() < period.toNs());
-        return starts.stream()
-                .filter(start -> wasReachable && start.proxy() == proxy && start.atNs() >= change.atNs())
-                .mapToLong(ProcessStart::atNs)
+        return listsDue.stream()
+                .filter(due -> wasReachable && due.proxy() == proxy && due.atNs() >= change.atNs())
+                .mapToLong(ListDue::atNs)
                 .min()
                 .orElse(Long.MAX_VALUE);
     }
--- a/src/test/java/dewstage/faults/FaultRun.java
+++ b/src/test/java/dewstage/faults/FaultRun.java
@@ -17,6 +17,9 @@
     /** How long after a notification requests may still be sent to a leaving server. */
     static final Duration DRAIN_GRACE = Duration.ofMillis(500);
 
+    /** What discovery at a new address has counts as notified this long after the signal. */
+    static final Duration ADDRESS_CHANGE_LIMIT = Duration.ofSeconds(4);
+
     private static final Duration SERVICE_TIME = Duration.ofMillis(5);
     private static final Duration REQUEST_INTERVAL = Duration.ofMillis(50);
     private static final int MAX_SHOWN = 5;
@@ -30,7 +33,7 @@
     private final List<SteadyClient> clients = new ArrayList<>();
     private final boolean pushed;
     private final int proxies;
-    private final List<DrainRule.ProcessStart> starts = new ArrayList<>();
+    private final List<DrainRule.ListDue> listsDue = new ArrayList<>();
     private ProcessLimits limits = ProcessLimits.DEFAULT;
 
     /** Starts servers and discovery, but no proxy yet. */
@@ -75,7 +78,7 @@
     /** As above, with the given settings of each proxy. */
     void start(List<ProxySettings> settings) throws IOException {
         for (int i = 0; i < proxies; i++) {
-            starts.add(new DrainRule.ProcessStart(i, System.nanoTime()));
+            listsDue.add(new DrainRule.ListDue(i, System.nanoTime()));
             fleet.start(settings.get(i));
         }
         for (int i = 0; i < proxies; i++) {
@@ -83,6 +86,13 @@
         }
     }
 
+    /** Moves a proxy to another discovery by its configuration file and SIGHUP. */
+    void changeDiscovery(int proxy, QueuedDiscovery newDiscovery) throws IOException, InterruptedException {
+        fleet.configure(proxy, settings(proxy, newDiscovery));
+        listsDue.add(new DrainRule.ListDue(proxy, System.nanoTime() + ADDRESS_CHANGE_LIMIT.toNanos()));
+        fleet.signal(proxy, "HUP");
+    }
+
     void pause(Duration duration) throws InterruptedException {
         TimeUnit.NANOSECONDS.sleep(duration.toNanos());
     }
@@ -110,7 +120,7 @@
 
     private List<String> drainViolations(QueuedDiscovery source, List<DrainRule.ServerRequest> judged) {
         List<DrainRule.Violation> violations =
-                new DrainRule(DRAIN_GRACE, list, source, pushed ? starts : List.of()).violations(judged);
+                new DrainRule(DRAIN_GRACE, list, source, pushed ? listsDue : List.of()).violations(judged);
         List<String> messages = new ArrayList<>();
         violations.stream()
                 .limit(MAX_SHOWN)
--- a/src/test/java/dewstage/faults/ReconfigurationTest.java
+++ b/src/test/java/dewstage/faults/ReconfigurationTest.java
@@ -14,8 +14,6 @@
 @Timeout(60)
 class ReconfigurationTest {
     private static final Duration CALL_TIME = Duration.ofMillis(1);
-    /** Changes at the new address count as delivered this long after the signal. */
-    private static final Duration DELIVERY_LIMIT = Duration.ofSeconds(4);
 
     @TempDir
     Path folder;
@@ -28,11 +26,6 @@
         assertTrue(run.fleet.awaitLog(0, " ready", Duration.ofSeconds(20)), "not ready");
     }
 
-    private static void changeDiscovery(FaultRun run, QueuedDiscovery newDiscovery) throws Exception {
-        run.fleet.configure(0, run.settings(0, newDiscovery));
-        run.fleet.signal(0, "HUP");
-    }
-
     @Test
     void aProcessStartedWithSighupIgnoredFollowsItsConfigurationFile() throws Exception {
         try (FaultRun run = oneProxy();
@@ -40,8 +33,8 @@
             run.fleet.ignoreHangup();
             run.start();
             awaitReady(run);
-            changeDiscovery(run, second);
-            run.pause(DELIVERY_LIMIT);
+            run.changeDiscovery(0, second);
+            run.pause(FaultRun.ADDRESS_CHANGE_LIMIT);
             assertEquals(1, second.calls().useful(), "calls answered by the new address");
         }
     }
@@ -54,10 +47,10 @@
             run.start();
             awaitReady(run);
             for (int i = 0; i < 10; i++) {
-                changeDiscovery(run, i % 2 == 0 ? second : run.discovery);
+                run.changeDiscovery(0, i % 2 == 0 ? second : run.discovery);
             }
-            changeDiscovery(run, last);
-            run.pause(DELIVERY_LIMIT);
+            run.changeDiscovery(0, last);
+            run.pause(FaultRun.ADDRESS_CHANGE_LIMIT);
             assertEquals(1, last.calls().useful(), "calls answered by the last address");
             last.publish("s-0", ServerList.Lifecycle.TERMINATING);
             run.pause(FaultRun.DRAIN_GRACE.multipliedBy(3));
@@ -73,7 +66,7 @@
             stalled.setStalled(true);
             run.start();
             awaitReady(run);
-            changeDiscovery(run, stalled);
+            run.changeDiscovery(0, stalled);
             run.pause(Duration.ofSeconds(1));
             run.discovery.publish("s-0", ServerList.Lifecycle.TERMINATING);
             run.pause(FaultRun.DRAIN_GRACE.multipliedBy(3));
