A connection that discovery accepts ends an outage that failed connections had shown

Seen: discovery was down for 2 s (connections refused) and came back crowded, so that calls ended with 503 after 2 s.

Candidates: (1) the refused connections extend the list too long; (2) the refused calls extend it after the return. Excluded: (1) the last of them is before the return, and what follows is held to 6 s and the grace. (2) stands: ListFreshnessTest shows it alone.

Cause: once a watch had ended, ListFreshness took refused calls for an outage for 30 s, also when refused connections had shown a real outage and an accepted one its end.

Change: failed connections after the end of a watch make the list's state UNREACHABLE, and the next accepted connection makes it OUTDATED, which nothing but a confirmation extends. Refused calls with no failed connection before them, which is how an outage behind a front shows, still count as one for 30 s; failed connections after that time do not.

--- a/src/main/java/dewstage/ListFreshness.java
+++ b/src/main/java/dewstage/ListFreshness.java
@@ -21,7 +21,7 @@
     /** Covers a process that pauses between reading the clock and sending, and a confirmation read late. */
     static final long MARGIN_NS = TimeUnit.MILLISECONDS.toNanos(400);
 
-    /** Longest time that counts as an outage of discovery; the fleet must keep serving through one. */
+    /** Longest time that counts as an outage if it shows in refused calls alone, as a full queue does. */
     static final long MAX_OUTAGE_NS = TimeUnit.SECONDS.toNanos(30);
 
     /** What is known of the list and of discovery. */
@@ -30,8 +30,12 @@
         UNCONFIRMED,
         /** A watch confirms the list, or has ended for a reason that says nothing of discovery. */
         CONFIRMED,
-        /** Discovery has ended the watch, as it does when it goes down. */
-        WATCH_ENDED
+        /** Discovery has ended the watch, as it does when it goes down; it may be crowded instead. */
+        WATCH_ENDED,
+        /** Connections have failed since the watch ended, and none has been accepted. */
+        UNREACHABLE,
+        /** Discovery could be reached after the list was last confirmed, so the list may lack changes. */
+        OUTDATED
     }
 
     /** Whether lists are requested by calls rather than pushed. */
@@ -82,18 +86,32 @@
      * from discovery, or whose watch stalled, has no reason to assume an outage.
      */
     public void onCallRefused(long now) {
-        if (state == State.WATCH_ENDED && now - watchEndedAtNs < MAX_OUTAGE_NS) {
+        if (isOutageAssumed(now)) {
             extend(now);
         }
     }
 
+    private boolean isOutageAssumed(long now) {
+        return state == State.WATCH_ENDED && now - watchEndedAtNs < MAX_OUTAGE_NS;
+    }
+
+    /** Records that discovery has accepted a connection: after an outage it may have new changes. */
+    public void onConnected() {
+        if (state == State.UNREACHABLE) {
+            state = State.OUTDATED;
+        }
+    }
+
     /**
      * Records that discovery could not be reached; until it can, no change counts as notified. Pushed changes
      * count as notified to a new process, or after a change of the address, even if discovery had them only
      * before it went down, so a list that this address has not confirmed remains unreliable.
      */
     public void onUnreachable(long now) {
-        if (state != State.UNCONFIRMED || isOnRequest) {
+        if (state == State.WATCH_ENDED) {
+            state = isOutageAssumed(now) ? State.UNREACHABLE : State.OUTDATED;
+        }
+        if (state != State.OUTDATED && (state != State.UNCONFIRMED || isOnRequest)) {
             extend(now);
         }
     }
--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -348,6 +348,13 @@
         }
     }
 
+    @Override
+    public void onConnected(DiscoveryWatch source) {
+        if (source.address().equals(address)) {
+            freshness.onConnected();
+        }
+    }
+
     @Override
     public void onAnswered(DiscoveryWatch source) {
         patience.onAnswered(source.ageNs());
--- a/src/main/java/dewstage/proxy/DiscoveryWatch.java
+++ b/src/main/java/dewstage/proxy/DiscoveryWatch.java
@@ -47,6 +47,9 @@
 
     /** Receives the events of a watch, none of them after its end. */
     interface Owner {
+        /** Discovery has accepted the connection. */
+        void onConnected(DiscoveryWatch source);
+
         /** The head of a successful answer has been received. */
         void onAnswered(DiscoveryWatch source);
 
@@ -198,6 +201,7 @@
     public void channelActive(ChannelHandlerContext ctx) {
         isConnected = true;
         callLog.connected();
+        owner.onConnected(this);
         String from = version < 0 ? "" : "&index=" + version;
         DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                 "/catalog/members?stream=1" + from);
--- a/src/test/java/dewstage/ListFreshnessTest.java
+++ b/src/test/java/dewstage/ListFreshnessTest.java
@@ -103,6 +103,44 @@
         }
     }
 
+    /** Guards against a crowded discovery being taken for down after it had come back from an outage. */
+    @Test
+    void refusedCallsAfterAnOutageDoNotExtendReliability() {
+        for (ListFreshness freshness : new ListFreshness[] {pushed, requested}) {
+            freshness.onConfirmed(now);
+            freshness.onWatchEnded(now);
+            repeatUntil(now + OUTAGE_NS, () -> freshness.onUnreachable(now));
+            freshness.onUnreachable(now);
+            long failedAtNs = now;
+            freshness.onConnected();
+            repeatUntil(failedAtNs + RELIABLE_NS, () -> {
+                assertTrue(freshness.isReliable(now));
+                freshness.onCallRefused(now);
+                freshness.onUnreachable(now);
+            });
+            assertFalse(freshness.isReliable(now));
+        }
+    }
+
+    @Test
+    void refusedCallsAfterTheEndOfAWatchCountAsAnOutageForALimitedTime() {
+        for (ListFreshness freshness : new ListFreshness[] {pushed, requested}) {
+            freshness.onConfirmed(now);
+            freshness.onWatchEnded(now);
+            long endedAtNs = now;
+            repeatUntil(endedAtNs + ListFreshness.MAX_OUTAGE_NS, () -> {
+                freshness.onConnected();
+                freshness.onCallRefused(now);
+                assertTrue(freshness.isReliable(now));
+            });
+            repeatUntil(now + RELIABLE_NS, () -> {
+                freshness.onCallRefused(now);
+                freshness.onUnreachable(now);
+            });
+            assertFalse(freshness.isReliable(now));
+        }
+    }
+
     @Test
     void confirmedListIsReliableForALimitedTime() {
         for (ListFreshness freshness : new ListFreshness[] {pushed, requested}) {
