Do not take a local failure to connect for an outage of discovery

Seen by nobody; found on reading the paths on which a list counts as confirmed since nothing contradicted it: each connect that failed with EADDRNOTAVAIL, ENOBUFS or ENETUNREACH extended the list as if discovery were down, while discovery may have been up and had changes.

Cause: DiscoveryWatch reported one reason, NOT_CONNECTED, for all failures, and Discovery told ListFreshness that discovery was unreachable. The liveness check did the same.

Change: ConnectFailure tells refused connections, hosts that do not respond and local failures apart. A local failure is repeated as before and extends nothing.

--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -303,7 +303,7 @@
         call = new DiscoveryWatch(loop, this, address, version, stallTimeoutMs, maxListBytes,
                 new ListReader(membership, config), newCallLog());
         callTimer = loop.schedule(() -> call.giveUp("no answer"), patience.timeoutNs(), TimeUnit.NANOSECONDS);
-        livenessTimer = loop.schedule(this::checkLiveness, LIVENESS_CHECK_MS, TimeUnit.MILLISECONDS);
+        scheduleLivenessCheck(LIVENESS_CHECK_MS);
         call.open((int) connectTimeoutMs(config.drainGraceNs()));
     }
 
@@ -319,7 +319,7 @@
      */
     private void checkLiveness() {
         if (watch != null && watch.address().equals(address)) {
-            livenessTimer = loop.schedule(this::checkLiveness, LIVENESS_CHECK_MS, TimeUnit.MILLISECONDS);
+            scheduleLivenessCheck(LIVENESS_CHECK_MS);
             return; // the watch at this address either receives data or ends as stalled
         }
         DiscoveryWatch waiting = call;
@@ -331,21 +331,29 @@
             if (!noDescriptor) {
                 connect.channel().close();
             }
-            if (waiting == call) {
-                onLivenessChecked(f.isSuccess() || noDescriptor);
+            if (waiting == call && (f.isSuccess() || noDescriptor)) {
+                failedLivenessChecks = 0;
+                scheduleLivenessCheck(LIVENESS_CHECK_MS);
+            } else if (waiting == call) {
+                onLivenessCheckFailed(ConnectFailure.of(f.cause()));
             }
         });
     }
 
-    private void onLivenessChecked(boolean isAlive) {
-        failedLivenessChecks = isAlive ? 0 : failedLivenessChecks + 1;
-        if (failedLivenessChecks >= MAX_FAILED_LIVENESS_CHECKS) {
+    private void onLivenessCheckFailed(ConnectFailure failure) {
+        failedLivenessChecks++;
+        if (failedLivenessChecks < MAX_FAILED_LIVENESS_CHECKS) {
+            scheduleLivenessCheck(MIN_RETRY_PAUSE_MS);
+            return;
+        }
+        if (failure != ConnectFailure.LOCAL) {
             freshness.onUnreachable(System.nanoTime());
-            call.giveUp("discovery no longer accepts connections");
-        } else {
-            livenessTimer = loop.schedule(this::checkLiveness,
-                    isAlive ? LIVENESS_CHECK_MS : MIN_RETRY_PAUSE_MS, TimeUnit.MILLISECONDS);
         }
+        call.giveUp("discovery no longer accepts connections");
+    }
+
+    private void scheduleLivenessCheck(long delayMs) {
+        livenessTimer = loop.schedule(this::checkLiveness, delayMs, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -434,8 +442,9 @@
         long waitedNs = call.ageNs();
         long now = System.nanoTime();
         clearCall();
-        failedConnects = reason == DiscoveryWatch.EndReason.NOT_CONNECTED ? failedConnects + 1 : 0;
-        if (reason == DiscoveryWatch.EndReason.NOT_CONNECTED) {
+        failedConnects = reason.isConnectFailure() ? failedConnects + 1 : 0;
+        if (reason == DiscoveryWatch.EndReason.CONNECTION_REFUSED
+                || reason == DiscoveryWatch.EndReason.CONNECTION_TIMED_OUT) {
             freshness.onUnreachable(now);
         } else if (reason == DiscoveryWatch.EndReason.STALLED) {
             patience.onTimedOut();
--- a/src/main/java/dewstage/proxy/DiscoveryWatch.java
+++ b/src/main/java/dewstage/proxy/DiscoveryWatch.java
@@ -36,13 +36,29 @@
     enum EndReason {
         OPEN,
         CLOSED_BY_US,
+        CONNECTION_REFUSED,
+        CONNECTION_TIMED_OUT,
+        /** For a local reason. */
         NOT_CONNECTED,
         NO_DESCRIPTOR,
         REFUSED,
         STALLED,
         INVALID,
         TOO_LARGE,
-        CLOSED_BY_PEER
+        CLOSED_BY_PEER;
+
+        private static EndReason of(ConnectFailure failure) {
+            return switch (failure) {
+                case REFUSED -> CONNECTION_REFUSED;
+                case TIMED_OUT -> CONNECTION_TIMED_OUT;
+                case LOCAL -> NOT_CONNECTED;
+            };
+        }
+
+        /** Whether the connection never came up. */
+        boolean isConnectFailure() {
+            return this == CONNECTION_REFUSED || this == CONNECTION_TIMED_OUT || this == NOT_CONNECTED;
+        }
     }
 
     /** Receives the events of a watch, none of them after its end. */
@@ -130,16 +146,20 @@
             if (isConnected) {
                 end(EndReason.CLOSED_BY_PEER, "closed by discovery");
             } else {
-                end(EndReason.NOT_CONNECTED, "cannot connect: " + connect.cause());
+                endNotConnected(connect.cause());
             }
         });
         connect.addListener(f -> {
             if (!f.isSuccess()) {
-                end(EndReason.NOT_CONNECTED, "cannot connect: " + f.cause());
+                endNotConnected(f.cause());
             }
         });
     }
 
+    private void endNotConnected(Throwable cause) {
+        end(EndReason.of(ConnectFailure.of(cause)), "cannot connect: " + cause);
+    }
+
     /** Closes the watch without notifying the owner. */
     void close(String reason) {
         if (endReason == EndReason.OPEN) {
