A silent watch that is followed by refused connections may have missed changes

Seen: after a watch had fallen silent, a server began to drain and connections to discovery were refused. The proxy kept sending to that server for as long as the outage lasted, though what a silent watch misses counts as notified 6 s after it fell silent.

Candidates: (1) failed connections extend the list; (2) something confirms it. Excluded: (2) nothing was written. (1): ListFreshnessTest shows it alone.

That connections are refused shows that the host is there, so the watch fell silent without its end, and between its last heartbeat and the outage it may have missed a change.

Change: a watch that stalls puts the list into a state of its own. It remains in force while connections time out, as when the host is cut off from that moment on; a connection that is refused or accepted makes it outdated.

--- a/src/main/java/dewstage/ListFreshness.java
+++ b/src/main/java/dewstage/ListFreshness.java
@@ -28,12 +28,14 @@
     private enum State {
         /** Discovery has not confirmed the list at its present address: the list may lack older changes. */
         UNCONFIRMED,
-        /** A watch confirms the list, or has ended for a reason that says nothing of discovery. */
+        /** A watch confirms the list. */
         CONFIRMED,
         /** Discovery has ended the watch, as it does when it goes down; it may be crowded instead. */
         WATCH_ENDED,
         /** Connections have failed since the watch ended, and none has been accepted. */
         UNREACHABLE,
+        /** The watch fell silent. It has missed nothing only if discovery has been cut off ever since. */
+        WATCH_SILENT,
         /** Discovery could be reached after the list was last confirmed, so the list may lack changes. */
         OUTDATED
     }
@@ -97,21 +99,42 @@
 
     /** Records that discovery has accepted a connection: after an outage it may have new changes. */
     public void onConnected() {
-        if (state == State.UNREACHABLE) {
+        if (state == State.UNREACHABLE || state == State.WATCH_SILENT) {
             state = State.OUTDATED;
         }
     }
 
+    /** Records that a watch has delivered nothing for too long. */
+    public void onWatchSilent() {
+        if (state == State.CONFIRMED) {
+            state = State.WATCH_SILENT;
+        }
+    }
+
+    /** Records that the host of discovery has refused a connection: discovery is down. */
+    public void onConnectionRefused(long now) {
+        if (state == State.WATCH_SILENT) {
+            state = State.OUTDATED; // a host that is not cut off would have ended the watch
+        }
+        onUnreachable(now);
+    }
+
+    /** Records that a connection to discovery did not come up: its host is down or cut off. */
+    public void onConnectionTimedOut(long now) {
+        onUnreachable(now);
+    }
+
     /**
-     * Records that discovery could not be reached; until it can, no change counts as notified. Pushed changes
-     * count as notified to a new process, or after a change of the address, even if discovery had them only
-     * before it went down, so a list that this address has not confirmed remains unreliable.
+     * Discovery could not be reached; until it can, no change counts as notified. Pushed changes count as
+     * notified to a new process, or after a change of the address, even if discovery had them only before it
+     * went down, so a list that this address has not confirmed remains unreliable.
      */
-    public void onUnreachable(long now) {
+    private void onUnreachable(long now) {
         if (state == State.WATCH_ENDED) {
             state = isOutageAssumed(now) ? State.UNREACHABLE : State.OUTDATED;
         }
-        if (state != State.OUTDATED && (state != State.UNCONFIRMED || isOnRequest)) {
+        boolean isStillComplete = state == State.UNREACHABLE || state == State.WATCH_SILENT;
+        if (isStillComplete || state == State.UNCONFIRMED && isOnRequest) {
             extend(now);
         }
     }
--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -346,12 +346,18 @@
             scheduleLivenessCheck(MIN_RETRY_PAUSE_MS);
             return;
         }
-        if (failure != ConnectFailure.LOCAL) {
-            freshness.onUnreachable(System.nanoTime());
-        }
+        recordConnectFailure(failure);
         call.giveUp("discovery no longer accepts connections");
     }
 
+    private void recordConnectFailure(ConnectFailure failure) {
+        switch (failure) {
+            case REFUSED -> freshness.onConnectionRefused(System.nanoTime());
+            case TIMED_OUT -> freshness.onConnectionTimedOut(System.nanoTime());
+            default -> { } // says nothing of discovery
+        }
+    }
+
     private void scheduleLivenessCheck(long delayMs) {
         livenessTimer = loop.schedule(this::checkLiveness, delayMs, TimeUnit.MILLISECONDS);
     }
@@ -409,9 +415,7 @@
             pauseNs = onCallFailed(reason);
         } else {
             watch = null;
-            if (reason == DiscoveryWatch.EndReason.CLOSED_BY_PEER) {
-                freshness.onWatchEnded(System.nanoTime());
-            }
+            recordWatchEnd(reason);
         }
         // Doubles until a watch ends for another reason. A smaller list received on the same watch before the
         // large one does not reset it.
@@ -424,6 +428,14 @@
         }
     }
 
+    private void recordWatchEnd(DiscoveryWatch.EndReason reason) {
+        if (reason == DiscoveryWatch.EndReason.CLOSED_BY_PEER) {
+            freshness.onWatchEnded(System.nanoTime());
+        } else if (reason == DiscoveryWatch.EndReason.STALLED) {
+            freshness.onWatchSilent();
+        }
+    }
+
     /** Schedules the next call after the retry pause, but no sooner than after {@code minPauseNs}. */
     private void scheduleCall(long minPauseNs) {
         if (config.settings().askForList()) {
@@ -442,10 +454,10 @@
         long waitedNs = call.ageNs();
         long now = System.nanoTime();
         clearCall();
-        failedConnects = reason.isConnectFailure() ? failedConnects + 1 : 0;
-        if (reason == DiscoveryWatch.EndReason.CONNECTION_REFUSED
-                || reason == DiscoveryWatch.EndReason.CONNECTION_TIMED_OUT) {
-            freshness.onUnreachable(now);
+        ConnectFailure connectFailure = reason.connectFailure();
+        failedConnects = connectFailure != null ? failedConnects + 1 : 0;
+        if (connectFailure != null) {
+            recordConnectFailure(connectFailure);
         } else if (reason == DiscoveryWatch.EndReason.STALLED) {
             patience.onTimedOut();
         } else if (reason == DiscoveryWatch.EndReason.REFUSED
--- a/src/main/java/dewstage/proxy/DiscoveryWatch.java
+++ b/src/main/java/dewstage/proxy/DiscoveryWatch.java
@@ -55,9 +55,14 @@
             };
         }
 
-        /** Whether the connection never came up. */
-        boolean isConnectFailure() {
-            return this == CONNECTION_REFUSED || this == CONNECTION_TIMED_OUT || this == NOT_CONNECTED;
+        /** Why the connection did not come up; null if it did, or if it was not tried. */
+        ConnectFailure connectFailure() {
+            return switch (this) {
+                case CONNECTION_REFUSED -> ConnectFailure.REFUSED;
+                case CONNECTION_TIMED_OUT -> ConnectFailure.TIMED_OUT;
+                case NOT_CONNECTED -> ConnectFailure.LOCAL;
+                default -> null;
+            };
         }
     }
 
--- a/src/test/java/dewstage/ListFreshnessTest.java
+++ b/src/test/java/dewstage/ListFreshnessTest.java
@@ -31,7 +31,7 @@
     @Test
     void unreachableDiscoveryDoesNotConfirmAPushedListOfANewProcess() {
         repeatUntil(now + OUTAGE_NS, () -> {
-            pushed.onUnreachable(now);
+            pushed.onConnectionRefused(now);
             assertFalse(pushed.isReliable(now));
         });
     }
@@ -40,7 +40,7 @@
     void requestedListOfANewProcessIsReliableWhileDiscoveryIsUnreachable() {
         assertFalse(requested.isReliable(now));
         repeatUntil(now + OUTAGE_NS, () -> {
-            requested.onUnreachable(now);
+            requested.onConnectionRefused(now);
             assertTrue(requested.isReliable(now));
         });
     }
@@ -75,7 +75,7 @@
     void unreachableNewAddressDoesNotConfirmAPushedList() {
         pushed.onConfirmed(now);
         pushed.onAddressChanged(now);
-        repeatUntil(now + RELIABLE_AFTER_ADDRESS_CHANGE_NS, () -> pushed.onUnreachable(now));
+        repeatUntil(now + RELIABLE_AFTER_ADDRESS_CHANGE_NS, () -> pushed.onConnectionRefused(now));
         assertFalse(pushed.isReliable(now));
         pushed.onConfirmed(now);
         assertTrue(pushed.isReliable(now));
@@ -86,7 +86,7 @@
         requested.onConfirmed(now);
         requested.onAddressChanged(now);
         repeatUntil(now + OUTAGE_NS, () -> {
-            requested.onUnreachable(now);
+            requested.onConnectionRefused(now);
             assertTrue(requested.isReliable(now));
         });
     }
@@ -97,7 +97,7 @@
             freshness.onConfirmed(now);
             freshness.onWatchEnded(now);
             repeatUntil(now + OUTAGE_NS, () -> {
-                freshness.onUnreachable(now);
+                freshness.onConnectionRefused(now);
                 assertTrue(freshness.isReliable(now));
             });
         }
@@ -109,14 +109,14 @@
         for (ListFreshness freshness : new ListFreshness[] {pushed, requested}) {
             freshness.onConfirmed(now);
             freshness.onWatchEnded(now);
-            repeatUntil(now + OUTAGE_NS, () -> freshness.onUnreachable(now));
-            freshness.onUnreachable(now);
+            repeatUntil(now + OUTAGE_NS, () -> freshness.onConnectionRefused(now));
+            freshness.onConnectionRefused(now);
             long failedAtNs = now;
             freshness.onConnected();
             repeatUntil(failedAtNs + RELIABLE_NS, () -> {
                 assertTrue(freshness.isReliable(now));
                 freshness.onCallRefused(now);
-                freshness.onUnreachable(now);
+                freshness.onConnectionRefused(now);
             });
             assertFalse(freshness.isReliable(now));
         }
@@ -135,12 +135,43 @@
             });
             repeatUntil(now + RELIABLE_NS, () -> {
                 freshness.onCallRefused(now);
-                freshness.onUnreachable(now);
+                freshness.onConnectionRefused(now);
             });
             assertFalse(freshness.isReliable(now));
         }
     }
 
+    /** Guards against changes that a silent watch missed before discovery went down. */
+    @Test
+    void outageAfterASilentWatchDoesNotExtendReliability() {
+        for (ListFreshness freshness : new ListFreshness[] {pushed, requested}) {
+            freshness.onConfirmed(now);
+            long confirmedAtNs = now;
+            freshness.onWatchSilent();
+            repeatUntil(confirmedAtNs + RELIABLE_NS, () -> {
+                assertTrue(freshness.isReliable(now));
+                freshness.onConnectionRefused(now);
+                freshness.onConnectionTimedOut(now);
+            });
+            assertFalse(freshness.isReliable(now));
+        }
+    }
+
+    @Test
+    void listIsReliableWhileDiscoveryIsCutOff() {
+        for (ListFreshness freshness : new ListFreshness[] {pushed, requested}) {
+            freshness.onConfirmed(now);
+            freshness.onWatchSilent();
+            repeatUntil(now + OUTAGE_NS, () -> {
+                freshness.onConnectionTimedOut(now);
+                assertTrue(freshness.isReliable(now));
+            });
+            freshness.onConnected();
+            repeatUntil(now + RELIABLE_NS, () -> freshness.onConnectionTimedOut(now));
+            assertFalse(freshness.isReliable(now));
+        }
+    }
+
     @Test
     void confirmedListIsReliableForALimitedTime() {
         for (ListFreshness freshness : new ListFreshness[] {pushed, requested}) {
--- a/src/test/java/dewstage/faults/DrainRule.java
+++ b/src/test/java/dewstage/faults/DrainRule.java
@@ -10,8 +10,9 @@
 /**
  * A proxy must not send the first byte of a request to a server later than the drain grace after it was notified that
  * the server drains or is gone. A change counts as notified when discovery has written it to the proxy, and at the
- * latest when discovery has had it for 6 s while reachable. Where lists are pushed, what discovery has also counts as
- * notified to a new process from its start, and 4 s after a change of the address of discovery.
+ * latest when discovery has had it for 6 s while reachable. What a silent watch misses counts as notified 6 s after it
+ * fell silent. Where lists are pushed, what discovery has also counts as notified to a new process from its start, and
+ * 4 s after a change of the address of discovery.
  */
 final class DrainRule {
     /** A request at a server, with the arrival time of its first byte by System.nanoTime. */
--- a/src/test/java/dewstage/faults/FaultRun.java
+++ b/src/test/java/dewstage/faults/FaultRun.java
@@ -20,6 +20,9 @@
     /** What discovery at a new address has counts as notified this long after the signal. */
     static final Duration ADDRESS_CHANGE_LIMIT = Duration.ofSeconds(4);
 
+    /** What a watch misses counts as notified this long after it has fallen silent. */
+    private static final Duration SILENT_WATCH_LIMIT = Duration.ofSeconds(6);
+
     private static final Duration SERVICE_TIME = Duration.ofMillis(5);
     private static final Duration REQUEST_INTERVAL = Duration.ofMillis(50);
     private static final int MAX_SHOWN = 5;
@@ -78,7 +81,9 @@
     /** As above, with the given settings of each proxy. */
     void start(List<ProxySettings> settings) throws IOException {
         for (int i = 0; i < proxies; i++) {
-            listsDue.add(new DrainRule.ListDue(i, System.nanoTime()));
+            if (pushed) {
+                listsDue.add(new DrainRule.ListDue(i, System.nanoTime()));
+            }
             fleet.start(settings.get(i));
         }
         for (int i = 0; i < proxies; i++) {
@@ -89,10 +94,20 @@
     /** Moves a proxy to another discovery by its configuration file and SIGHUP. */
     void changeDiscovery(int proxy, QueuedDiscovery newDiscovery) throws IOException, InterruptedException {
         fleet.configure(proxy, settings(proxy, newDiscovery));
-        listsDue.add(new DrainRule.ListDue(proxy, System.nanoTime() + ADDRESS_CHANGE_LIMIT.toNanos()));
+        if (pushed) {
+            listsDue.add(new DrainRule.ListDue(proxy, System.nanoTime() + ADDRESS_CHANGE_LIMIT.toNanos()));
+        }
         fleet.signal(proxy, "HUP");
     }
 
+    /** Makes the watches of discovery fall silent; what they miss counts as notified after a time. */
+    void silenceWatches() {
+        discovery.setStalled(true);
+        for (int i = 0; i < proxies; i++) {
+            listsDue.add(new DrainRule.ListDue(i, System.nanoTime() + SILENT_WATCH_LIMIT.toNanos()));
+        }
+    }
+
     void pause(Duration duration) throws InterruptedException {
         TimeUnit.NANOSECONDS.sleep(duration.toNanos());
     }
@@ -119,8 +134,7 @@
     }
 
     private List<String> drainViolations(QueuedDiscovery source, List<DrainRule.ServerRequest> judged) {
-        List<DrainRule.Violation> violations =
-                new DrainRule(DRAIN_GRACE, list, source, pushed ? listsDue : List.of()).violations(judged);
+        List<DrainRule.Violation> violations = new DrainRule(DRAIN_GRACE, list, source, listsDue).violations(judged);
         List<String> messages = new ArrayList<>();
         violations.stream()
                 .limit(MAX_SHOWN)
--- a/src/test/java/dewstage/faults/QueuedDiscovery.java
+++ b/src/test/java/dewstage/faults/QueuedDiscovery.java
@@ -116,13 +116,20 @@
         runOnLoop(() -> reachable.add(new Reachable(System.nanoTime(), Long.MAX_VALUE)));
     }
 
-    /** Closes all watches and calls and refuses connections. */
-    void down() {
+    /** Refuses connections; open watches and calls stay. */
+    void refuseConnections() {
         listeners.forEach(l -> l.close().syncUninterruptibly());
         ports.forEach(HarnessPorts::awaitFree);
         runOnLoop(() -> {
             Reachable last = reachable.remove(reachable.size() - 1);
-            reachable.add(new Reachable(last.fromNs(), System.nanoTime()));
+            reachable.add(new Reachable(last.fromNs(), Math.min(last.toNs(), System.nanoTime())));
+        });
+    }
+
+    /** Closes all watches and calls and refuses connections. */
+    void down() {
+        refuseConnections();
+        runOnLoop(() -> {
             new ArrayList<>(openCalls).forEach(c -> c.channel.close());
             waitingCalls.clear();
         });
