Do not assume an outage after a watch that ended before it was up to date

A watch that was answered and ended before its first list, within a list, or with a list that cannot be read, began an assumed outage (for 30 s, and anew with each such watch), in which refused calls extended the list; failed connections extended it without a limit.

Cause: Discovery reported each end by the peer as the beginning of an outage, and an invalid list not at all.

Change: DiscoveryWatch knows whether it was up to date at its end, which is between two lists and after at least one list or heartbeat. If it was not, the list's state is OUTDATED, which only a confirmation extends. The end of a watch at an earlier address is not reported.

--- a/src/main/java/dewstage/ListFreshness.java
+++ b/src/main/java/dewstage/ListFreshness.java
@@ -72,7 +72,7 @@
     }
 
     /**
-     * Records that discovery has ended a watch that it had answered, as it does when it goes down. Refused
+     * Records that discovery has ended a watch that was up to date, as it does when it goes down. Refused
      * calls after that count as an outage for a limited time.
      */
     public void onWatchEnded(long now) {
@@ -104,13 +104,20 @@
         }
     }
 
-    /** Records that a watch has delivered nothing for too long. */
+    /** Records that a watch that was up to date has delivered nothing for too long. */
     public void onWatchSilent() {
         if (state == State.CONFIRMED) {
             state = State.WATCH_SILENT;
         }
     }
 
+    /** Records that a watch has ended before it delivered all that discovery had for it. */
+    public void onChangesMissed() {
+        if (state != State.UNCONFIRMED) {
+            state = State.OUTDATED;
+        }
+    }
+
     /** Records that the host of discovery has refused a connection: discovery is down. */
     public void onConnectionRefused(long now) {
         if (state == State.WATCH_SILENT) {
--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -415,7 +415,9 @@
             pauseNs = onCallFailed(reason);
         } else {
             watch = null;
-            recordWatchEnd(reason);
+            if (source.address().equals(address)) {
+                recordWatchEnd(source, reason);
+            }
         }
         // Doubles until a watch ends for another reason. A smaller list received on the same watch before the
         // large one does not reset it.
@@ -428,8 +430,10 @@
         }
     }
 
-    private void recordWatchEnd(DiscoveryWatch.EndReason reason) {
-        if (reason == DiscoveryWatch.EndReason.CLOSED_BY_PEER) {
+    private void recordWatchEnd(DiscoveryWatch source, DiscoveryWatch.EndReason reason) {
+        if (!source.wasUpToDate()) {
+            freshness.onChangesMissed();
+        } else if (reason == DiscoveryWatch.EndReason.CLOSED_BY_PEER) {
             freshness.onWatchEnded(System.nanoTime());
         } else if (reason == DiscoveryWatch.EndReason.STALLED) {
             freshness.onWatchSilent();
--- a/src/main/java/dewstage/proxy/DiscoveryWatch.java
+++ b/src/main/java/dewstage/proxy/DiscoveryWatch.java
@@ -100,6 +100,10 @@
     private Channel channel;
     private boolean isConnected;
     private boolean isAnswered;
+    /** Whether a list or a heartbeat has been received. */
+    private boolean hasDelivered;
+    /** Whether the watch ended between two lists, so that nothing is known to be missing. */
+    private boolean wasUpToDate;
     private EndReason endReason = EndReason.OPEN;
     /** Bytes received of the current list. */
     private long listBytes;
@@ -184,6 +188,11 @@
         return isAnswered;
     }
 
+    /** Whether the watch, which has ended, had delivered all that is known to have been due. */
+    boolean wasUpToDate() {
+        return wasUpToDate;
+    }
+
     InetSocketAddress address() {
         return address;
     }
@@ -196,6 +205,7 @@
     private void end(EndReason reason, String details) {
         if (endReason == EndReason.OPEN) {
             endReason = reason;
+            wasUpToDate = hasDelivered && listReader.isBetweenLists() && hasOnlyValidLists();
             callLog.ended(details);
             release();
             reportTruncatedList();
@@ -205,7 +215,7 @@
 
     /** Reports the usable part of an unfinished list, but nothing of one that is invalid or too large. */
     private void reportTruncatedList() {
-        if (endReason == EndReason.CLOSED_BY_PEER || endReason == EndReason.STALLED) {
+        if (hasOnlyValidLists()) {
             Discovery.ListUpdate leaving = listReader.endTruncated(version);
             if (leaving != null) {
                 owner.onListTruncated(leaving);
@@ -213,6 +223,10 @@
         }
     }
 
+    private boolean hasOnlyValidLists() {
+        return endReason == EndReason.CLOSED_BY_PEER || endReason == EndReason.STALLED;
+    }
+
     private void release() {
         if (stallTimer != null) {
             stallTimer.cancel(false);
@@ -280,6 +294,7 @@
             restartStallTimer();
         }
         if (isBetweenLists && isBlank && bytes.isReadable()) {
+            hasDelivered = true;
             owner.onHeartbeat(this);
         }
         try {
@@ -288,6 +303,7 @@
                 if (update != null && endReason == EndReason.OPEN) {
                     callLog.listReceived(version, update);
                     version = update.version();
+                    hasDelivered = true;
                     owner.onList(this, update);
                 }
             });
--- a/src/test/java/dewstage/ListFreshnessTest.java
+++ b/src/test/java/dewstage/ListFreshnessTest.java
@@ -172,6 +172,23 @@
         }
     }
 
+    /** Guards against an outage that is assumed after a watch has ended within a list. */
+    @Test
+    void outageAfterMissedChangesDoesNotExtendReliability() {
+        for (ListFreshness freshness : new ListFreshness[] {pushed, requested}) {
+            freshness.onConfirmed(now);
+            long confirmedAtNs = now;
+            freshness.onChangesMissed();
+            repeatUntil(confirmedAtNs + RELIABLE_NS, () -> {
+                assertTrue(freshness.isReliable(now));
+                freshness.onWatchEnded(now);
+                freshness.onCallRefused(now);
+                freshness.onConnectionRefused(now);
+            });
+            assertFalse(freshness.isReliable(now));
+        }
+    }
+
     @Test
     void confirmedListIsReliableForALimitedTime() {
         for (ListFreshness freshness : new ListFreshness[] {pushed, requested}) {
--- a/src/test/java/dewstage/proxy/DiscoveryTest.java
+++ b/src/test/java/dewstage/proxy/DiscoveryTest.java
@@ -12,6 +12,7 @@
 import dewstage.Balancer.Request;
 import dewstage.Balancer.State;
 import dewstage.Balancer.Status;
+import dewstage.ListFreshness;
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
@@ -20,6 +21,8 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** How the proxy applies the lists of discovery, and when it calls again. */
 class DiscoveryTest extends LoopbackTest {
@@ -229,6 +232,35 @@
         assertTrue(setup.events.stream().noneMatch(t -> t.kind().equals("members")));
     }
 
+    /** Guards against the end of a watch that had more to deliver being taken for an outage of discovery. */
+    @ParameterizedTest
+    @CsvSource({
+        "'', outdated",
+        "'\n', watch ended",
+        "'{\"generation\":42,\"instances\":[]}\n', watch ended",
+        "'{\"generation\":42,\"instances\":[]}\n{\"generation\":43,', outdated",
+        "'{\"generation\":42,\"instances\":[]}\n[1]\n', outdated"})
+    void onlyAWatchThatEndsUpToDateMayIndicateAnOutage(String text, String expectedState) throws Exception {
+        discovery.accept().read(); // the call of the proxy
+        Config config = Setup.config(discovery, backend);
+        ListFreshness freshness = new ListFreshness(config.drainGraceNs(), 0);
+        freshness.onConfirmed(System.nanoTime());
+        Discovery discoveryClient =
+                new Discovery(setup.loop, config, setup.proxy, 60_000, 100_000, freshness);
+        discoveryClient.resumeFrom(41);
+        setup.runOnLoop(() -> discoveryClient.setWatching(true));
+        Peer.Wire watch = discovery.accept();
+        watch.read();
+        watch.write(HEAD + (text.isEmpty() ? "" : chunk(text))).halfClose();
+        assertTrue(discovery.accept().read().startsWith("GET /catalog/members?stream=1"));
+        String[] state = new String[1];
+        setup.runOnLoop(() -> {
+            state[0] = freshness.describeState();
+            discoveryClient.setWatching(false);
+        });
+        assertEquals(expectedState, state[0]);
+    }
+
     @Test
     void aStalledWatchIsReopened() throws Exception {
         Config config = Setup.config(discovery, backend);
