--- a/src/main/java/dewstage/proxy/Sockets.java
+++ b/src/main/java/dewstage/proxy/Sockets.java
@@ -47,10 +47,6 @@
         void release() {
             open--;
         }
-
-        int limit() {
-            return limit;
-        }
     }
 
     /**
--- a/src/test/java/dewstage/FleetRig.java
+++ b/src/test/java/dewstage/FleetRig.java
@@ -124,13 +124,6 @@
         return maxFraction;
     }
 
-    /** Returns how many requests a server received within this time of its start. */
-    int requestsReceived(int server, double seconds) {
-        Backend backend = backends.get(server);
-        return (int) backend.arrivalTimes.stream()
-                .filter(arrivalNs -> arrivalNs - backend.bootNs <= seconds * SECOND_NS).count();
-    }
-
     /** A server that processes one request at a time, more slowly while cold. */
     private final class Backend {
         final int id;
--- a/src/test/java/dewstage/faults/ProxyFleet.java
+++ b/src/test/java/dewstage/faults/ProxyFleet.java
@@ -87,10 +87,6 @@
         }
     }
 
-    int size() {
-        return processes.size();
-    }
-
     Path log(int proxy) {
         return folder.resolve("proxy-" + proxy + ".log");
     }
--- a/src/test/java/dewstage/faults/QueuedDiscovery.java
+++ b/src/test/java/dewstage/faults/QueuedDiscovery.java
@@ -53,7 +53,7 @@
     private final Queue<Call> waitingCalls = new ArrayDeque<>();
     private final Queue<Written> written = new ConcurrentLinkedQueue<>();
     private final List<Reachable> reachable = new ArrayList<>();
-    private volatile Duration callTime;
+    private final Duration callTime;
     /** Waiting time after which a call is refused but keeps its place in the queue; null to refuse none. */
     private volatile Duration refuseAfter;
 
@@ -83,10 +83,6 @@
         return "127.0.0.1:" + ports.get(proxy);
     }
 
-    void setCallTime(Duration newCallTime) {
-        callTime = newCallTime;
-    }
-
     void setRefuseAfter(Duration waitTime) {
         refuseAfter = waitTime;
     }
