Split Discovery: the liveness check, list updates and listed backends in files of their own

LivenessCheck has the bare connections that tell a waiting call from a vanished host; ListUpdate and ListedBackend were nested types that seven other classes use. The age of the list is kept by ListFreshness, which has its state, and no longer twice; the log line of an attempt names the state too. "patience" is callTiming, DiscoveryWatch.isAnswered is gone, and the comment of nextCallAtNs says which two pauses it has.

No behaviour changes. DiscoveryTest, DiscoveryCallTimingTest, OutageOfDiscoveryTest, DescriptorsTest, MembershipTest, BackendsTest, ServeTest and ColdFleetTest pass.

--- a/src/main/java/dewstage/ListFreshness.java
+++ b/src/main/java/dewstage/ListFreshness.java
@@ -1,6 +1,7 @@
 package dewstage;
 
 import java.util.Locale;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -49,6 +50,8 @@
     private State state = State.UNCONFIRMED;
     private boolean wasEverReliable;
     private long reliableUntilNs;
+    /** When discovery last confirmed the list; unset if it never did. */
+    private OptionalLong confirmedAtNs = OptionalLong.empty();
     private long watchEndedAtNs;
 
     /**
@@ -68,6 +71,7 @@
     /** Records that discovery has confirmed the current list. */
     public void onConfirmed(long now) {
         state = State.CONFIRMED;
+        confirmedAtNs = OptionalLong.of(now);
         extend(now);
     }
 
@@ -167,6 +171,12 @@
         return state.name().toLowerCase(Locale.ROOT).replace('_', ' ');
     }
 
+    /** Describes when discovery last confirmed the list, for the log. */
+    public String describeAge(long now) {
+        return confirmedAtNs.isEmpty()
+                ? "never" : TimeUnit.NANOSECONDS.toMillis(now - confirmedAtNs.getAsLong()) + " ms ago";
+    }
+
     private void extend(long now) {
         reliableUntilNs = wasEverReliable ? Math.max(reliableUntilNs, now + reliableNs) : now + reliableNs;
         wasEverReliable = true;
--- a/src/main/java/dewstage/proxy/Backends.java
+++ b/src/main/java/dewstage/proxy/Backends.java
@@ -94,7 +94,7 @@
         /** Ordered by last use, the least recently used first. */
         final Deque<Connection> idleConnections = new ArrayDeque<>(2);
 
-        Backend(Discovery.ListedBackend entry) {
+        Backend(ListedBackend entry) {
             this.id = entry.member().id();
             this.address = entry.address();
             this.bootNs = entry.member().bootNs();
@@ -109,14 +109,14 @@
     private final long connectTimeoutNs;
     private final long keepAliveNs;
     private final long drainGraceNs;
-    private final IntFunction<Discovery.ListedBackend> listedById;
+    private final IntFunction<ListedBackend> listedById;
     private final IntMap<Backend> tracked = new IntMap<>();
     /** Idle connections of all backends in insertion order: the one idle longest is first. */
     private final Set<Connection> idleByAge = new LinkedHashSet<>();
 
     /** {@code listedById} returns the current list entry of a server, or null if it is not listed. */
     Backends(EventLoop loop, Clock clock, Sockets.Share sockets, ResponseMemory responseMemory, Config config,
-            Transport transport, IntFunction<Discovery.ListedBackend> listedById) {
+            Transport transport, IntFunction<ListedBackend> listedById) {
         this.responseMemory = responseMemory;
         this.listedById = listedById;
         this.transport = transport;
@@ -133,9 +133,9 @@
     // ---- member list ----
 
     /** Applies a list update. Updates after the first one include the members that are gone. */
-    void apply(Discovery.ListUpdate listUpdate) {
+    void apply(ListUpdate listUpdate) {
         long now = clock.now();
-        for (Discovery.ListedBackend entry : listUpdate.entries()) {
+        for (ListedBackend entry : listUpdate.entries()) {
             State state = entry.member().state();
             Backend backend = tracked.get(entry.member().id());
             if (backend == null && state == State.DRAINING) {
@@ -148,7 +148,7 @@
         }
     }
 
-    private void applyEntry(Backend backend, Discovery.ListedBackend entry, State state, long now) {
+    private void applyEntry(Backend backend, ListedBackend entry, State state, long now) {
         InetSocketAddress address = entry.address();
         boolean moved = address != null && !address.equals(backend.address);
         if (moved || entry.member().bootNs() > backend.bootNs) {
@@ -275,7 +275,7 @@
     /** Returns the state of a backend, creating it if needed; null if the server is not listed. */
     private Backend track(int server) {
         Backend backend = tracked.get(server);
-        Discovery.ListedBackend entry = backend == null ? listedById.apply(server) : null;
+        ListedBackend entry = backend == null ? listedById.apply(server) : null;
         if (entry != null) {
             backend = new Backend(entry);
             tracked.put(server, backend);
--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -3,23 +3,11 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import dewstage.Balancer.ListKind;
-import dewstage.Balancer.Member;
 import dewstage.CallTiming;
 import dewstage.ListFreshness;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
-import java.nio.ByteBuffer;
-import java.util.AbstractList;
-import java.util.Arrays;
-import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -29,64 +17,6 @@
  * delivers an invalid list is reopened from the last version; the current list stays in force meanwhile.
  */
 final class Discovery implements DiscoveryWatch.Owner {
-    /** A backend as listed, with its address. The socket address is created on request to save memory. */
-    static class ListedBackend {
-        private final Member member;
-        /** An IPv4 address; 0 if {@code ipv6} is set. */
-        private final int ipv4;
-        private final byte[] ipv6;
-        /** -1 if the backend has no address. */
-        private final int port;
-
-        ListedBackend(Member member, InetSocketAddress address) {
-            this.member = member;
-            byte[] bytes = address == null ? new byte[4] : address.getAddress().getAddress();
-            this.ipv4 = bytes.length == 4 ? ByteBuffer.wrap(bytes).getInt() : 0;
-            this.ipv6 = bytes.length == 4 ? null : bytes;
-            this.port = address == null ? -1 : address.getPort();
-        }
-
-        final Member member() {
-            return member;
-        }
-
-        /** Returns null if there is no address, which is allowed only for a backend that is gone. */
-        final InetSocketAddress address() {
-            if (port < 0) {
-                return null;
-            }
-            try {
-                return new InetSocketAddress(InetAddress.getByAddress(
-                        ipv6 == null ? ByteBuffer.allocate(4).putInt(ipv4).array() : ipv6), port);
-            } catch (UnknownHostException e) {
-                throw new AssertionError("IP address of invalid length", e);
-            }
-        }
-
-        final boolean isSameAs(ListedBackend other) {
-            return ipv4 == other.ipv4 && port == other.port && Arrays.equals(ipv6, other.ipv6)
-                    && member.equals(other.member);
-        }
-    }
-
-    /** One change of the member list. After the first list it holds only the entries that differ. */
-    record ListUpdate(ListKind kind, long version, List<ListedBackend> entries) {
-        /** The members for the decision module, as a view because a list may be long. */
-        List<Member> members() {
-            return new AbstractList<>() {
-                @Override
-                public Member get(int i) {
-                    return entries.get(i).member();
-                }
-
-                @Override
-                public int size() {
-                    return entries.size();
-                }
-            };
-        }
-    }
-
     /** Receives list updates and failures of the watch. */
     interface Listener {
         void onListUpdate(ListUpdate listUpdate);
@@ -104,9 +34,6 @@
      * even if it never arrived, and by then all proxies must have called again and been answered in turn.
      */
     static final long STALL_TIMEOUT_MS = 3000;
-    /** Interval at which discovery is checked for accepting connections while a call waits. */
-    private static final long LIVENESS_CHECK_MS = 2000;
-    private static final int MAX_FAILED_LIVENESS_CHECKS = 2;
     private static final long MIN_RETRY_PAUSE_MS = 100;
     private static final long MAX_RETRY_PAUSE_MS = 1600;
     /** Pause after a list that is too large: the next call would receive and discard the same list again. */
@@ -120,13 +47,13 @@
     private final long maxListBytes;
     private final Membership membership;
     private final ListFreshness freshness;
-    private final CallTiming patience = new CallTiming();
+    private final CallTiming callTiming = new CallTiming();
     private final SplittableRandom random;
     private InetSocketAddress address;
     private long version = -1;
     private long retryPauseMs = MIN_RETRY_PAUSE_MS;
     private long tooLargePauseMs;
-    /** Earliest time of the next call, by nanoTime. */
+    /** Earliest time of the next call, by nanoTime, after a queued refusal or a list that is too large. */
     private long nextCallAtNs = System.nanoTime();
     private boolean isWatchWanted;
     /** The answered watch, whose lists are applied; null if there is none. */
@@ -136,14 +63,11 @@
     private ScheduledFuture<?> retryTimer;
     /** Gives up the waiting call. */
     private ScheduledFuture<?> callTimer;
-    /** Starts the next liveness check while a call waits. */
-    private ScheduledFuture<?> livenessTimer;
+    /** Runs while a call waits. */
+    private LivenessCheck livenessCheck;
     private int callCount;
-    private int failedLivenessChecks;
     /** Consecutive calls that failed to connect. */
     private int failedConnects;
-    /** When a list or a heartbeat was last received, by nanoTime; 0 if never. */
-    private long confirmedAtNs;
 
     Discovery(EventLoop loop, Config config, Listener listener) {
         this(loop, config, listener, STALL_TIMEOUT_MS,
@@ -278,7 +202,9 @@
     private void clearCall() {
         call = null;
         cancel(callTimer);
-        cancel(livenessTimer);
+        if (livenessCheck != null) {
+            livenessCheck.stop();
+        }
     }
 
     private static void cancel(ScheduledFuture<?> timer) {
@@ -299,12 +225,16 @@
     }
 
     private void startCall() {
-        failedLivenessChecks = 0;
         call = new DiscoveryWatch(loop, this, address, version, stallTimeoutMs, maxListBytes,
                 new ListReader(membership, config), newCallLog());
-        callTimer = loop.schedule(() -> call.giveUp("no answer"), patience.timeoutNs(), TimeUnit.NANOSECONDS);
-        scheduleLivenessCheck(LIVENESS_CHECK_MS);
-        call.open((int) connectTimeoutMs(config.drainGraceNs()));
+        callTimer = loop.schedule(() -> call.giveUp("no answer"), callTiming.timeoutNs(),
+                TimeUnit.NANOSECONDS);
+        int connectTimeoutMs = (int) connectTimeoutMs(config.drainGraceNs());
+        // A watch at this address either receives data or ends as stalled.
+        livenessCheck = new LivenessCheck(loop, address, connectTimeoutMs,
+                () -> watch != null && watch.address().equals(address), this::onLivenessCheckFailed);
+        livenessCheck.start();
+        call.open(connectTimeoutMs);
     }
 
     /** In an outage, when every call fails to connect, only the 1st, 2nd, 4th, 8th... in a row is logged. */
@@ -313,39 +243,7 @@
         return new DiscoveryCallLog(++callCount, address, version, isLogged);
     }
 
-    /**
-     * Opens a connection and closes it again, to distinguish a call that waits in a long queue from one to a
-     * host that has vanished: a live host accepts connections even if discovery is too busy for calls.
-     */
-    private void checkLiveness() {
-        if (watch != null && watch.address().equals(address)) {
-            scheduleLivenessCheck(LIVENESS_CHECK_MS);
-            return; // the watch at this address either receives data or ends as stalled
-        }
-        DiscoveryWatch waiting = call;
-        ChannelFuture connect = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeoutMs(config.drainGraceNs()))
-                .handler(new ChannelInboundHandlerAdapter()).connect(address);
-        boolean noDescriptor = Sockets.hasNoDescriptor(connect);
-        connect.addListener(f -> {
-            if (!noDescriptor) {
-                connect.channel().close();
-            }
-            if (waiting == call && (f.isSuccess() || noDescriptor)) {
-                failedLivenessChecks = 0;
-                scheduleLivenessCheck(LIVENESS_CHECK_MS);
-            } else if (waiting == call) {
-                onLivenessCheckFailed(ConnectFailure.of(f.cause()));
-            }
-        });
-    }
-
     private void onLivenessCheckFailed(ConnectFailure failure) {
-        failedLivenessChecks++;
-        if (failedLivenessChecks < MAX_FAILED_LIVENESS_CHECKS) {
-            scheduleLivenessCheck(MIN_RETRY_PAUSE_MS);
-            return;
-        }
         recordConnectFailure(failure);
         call.giveUp("discovery no longer accepts connections");
     }
@@ -358,10 +256,6 @@
         }
     }
 
-    private void scheduleLivenessCheck(long delayMs) {
-        livenessTimer = loop.schedule(this::checkLiveness, delayMs, TimeUnit.MILLISECONDS);
-    }
-
     @Override
     public void onConnected(DiscoveryWatch source) {
         if (source.address().equals(address)) {
@@ -371,7 +265,7 @@
 
     @Override
     public void onAnswered(DiscoveryWatch source) {
-        patience.onAnswered(source.ageNs());
+        callTiming.onAnswered(source.ageNs());
         clearCall();
         failedConnects = 0;
         closeWatch("another call is answered");
@@ -403,8 +297,7 @@
     /** After a move, data from the old address does not confirm the list of the new one. */
     private void confirm(DiscoveryWatch source) {
         if (source.address().equals(address)) {
-            confirmedAtNs = System.nanoTime();
-            freshness.onConfirmed(confirmedAtNs);
+            freshness.onConfirmed(System.nanoTime());
         }
     }
 
@@ -463,13 +356,13 @@
         if (connectFailure != null) {
             recordConnectFailure(connectFailure);
         } else if (reason == DiscoveryWatch.EndReason.STALLED) {
-            patience.onTimedOut();
+            callTiming.onTimedOut();
         } else if (reason == DiscoveryWatch.EndReason.REFUSED
                 || reason == DiscoveryWatch.EndReason.CLOSED_BY_PEER) {
             freshness.onCallRefused(now);
-            patience.onRefused(waitedNs);
+            callTiming.onRefused(waitedNs);
             return CallTiming.wasQueued(waitedNs)
-                    ? patience.retryDelayNs(freshness.isReliable(now), random.nextDouble()) : 0;
+                    ? callTiming.retryDelayNs(freshness.isReliable(now), random.nextDouble()) : 0;
         }
         return 0;
     }
@@ -492,11 +385,6 @@
         return connectTimeoutMs(drainGraceNs) / 2;
     }
 
-    /** Time since discovery last confirmed the list, in ns; -1 if it never did. */
-    long listAgeNs() {
-        return confirmedAtNs == 0 ? -1 : System.nanoTime() - confirmedAtNs;
-    }
-
     /** Version of the list in force; -1 if there is none. */
     long version() {
         return version;
--- a/src/main/java/dewstage/proxy/DiscoveryCallLog.java
+++ b/src/main/java/dewstage/proxy/DiscoveryCallLog.java
@@ -34,7 +34,7 @@
         log("answered with " + status.code() + " after " + ageMs() + " ms");
     }
 
-    void listReceived(long fromVersion, Discovery.ListUpdate update) {
+    void listReceived(long fromVersion, ListUpdate update) {
         log("received " + update.kind() + " of " + update.entries().size() + " entries, version "
                 + fromVersion + " to " + update.version() + ", after " + ageMs() + " ms");
     }
--- a/src/main/java/dewstage/proxy/DiscoveryWatch.java
+++ b/src/main/java/dewstage/proxy/DiscoveryWatch.java
@@ -77,10 +77,10 @@
         /** A heartbeat has been received between two lists. */
         void onHeartbeat(DiscoveryWatch source);
 
-        void onList(DiscoveryWatch source, Discovery.ListUpdate update);
+        void onList(DiscoveryWatch source, ListUpdate update);
 
         /** The stream ended within a list; the update holds the part that applies nevertheless. */
-        void onListTruncated(Discovery.ListUpdate leaving);
+        void onListTruncated(ListUpdate leaving);
 
         /** Called once. */
         void onEnded(DiscoveryWatch source, EndReason reason);
@@ -99,7 +99,6 @@
     private final long openedAtNs = System.nanoTime();
     private Channel channel;
     private boolean isConnected;
-    private boolean isAnswered;
     /** Whether a list or a heartbeat has been received. */
     private boolean hasDelivered;
     /** Whether the watch ended between two lists, so that nothing is known to be missing. */
@@ -183,11 +182,6 @@
         end(EndReason.STALLED, reason);
     }
 
-    /** Whether a successful answer has begun. */
-    boolean isAnswered() {
-        return isAnswered;
-    }
-
     /** Whether the watch, which has ended, had delivered all that is known to have been due. */
     boolean wasUpToDate() {
         return wasUpToDate;
@@ -216,7 +210,7 @@
     /** Reports the usable part of an unfinished list, but nothing of one that is invalid or too large. */
     private void reportTruncatedList() {
         if (hasOnlyValidLists()) {
-            Discovery.ListUpdate leaving = listReader.endTruncated(version);
+            ListUpdate leaving = listReader.endTruncated(version);
             if (leaving != null) {
                 owner.onListTruncated(leaving);
             }
@@ -281,7 +275,6 @@
             end(EndReason.REFUSED, "refused with " + status.code());
             return;
         }
-        isAnswered = true;
         restartStallTimer();
         owner.onAnswered(this);
     }
@@ -299,7 +292,7 @@
         }
         try {
             stream.feed(ByteBufUtil.getBytes(bytes), (parser, token) -> {
-                Discovery.ListUpdate update = listReader.accept(parser, token);
+                ListUpdate update = listReader.accept(parser, token);
                 if (update != null && endReason == EndReason.OPEN) {
                     callLog.listReceived(version, update);
                     version = update.version();
--- a/src/main/java/dewstage/proxy/HollowProxy.java
+++ b/src/main/java/dewstage/proxy/HollowProxy.java
@@ -91,7 +91,7 @@
     }
 
     @Override
-    public void onListUpdate(Discovery.ListUpdate listUpdate) {
+    public void onListUpdate(ListUpdate listUpdate) {
         List<Member> members = listUpdate.members();
         enqueue(now -> {
             balancer.onMembers(now, listUpdate.kind(), listUpdate.version(), members);
--- a/src/main/java/dewstage/proxy/ListReader.java
+++ b/src/main/java/dewstage/proxy/ListReader.java
@@ -51,14 +51,14 @@
     }
 
     /** Ends a list that was cut off; returns the part of it that applies nevertheless, or null. */
-    Discovery.ListUpdate endTruncated(long version) {
-        Discovery.ListUpdate leaving = update == null ? null : update.endTruncated(version);
+    ListUpdate endTruncated(long version) {
+        ListUpdate leaving = update == null ? null : update.endTruncated(version);
         update = null;
         return leaving;
     }
 
     /** Processes one token; returns the update if the token completes a list, else null. */
-    Discovery.ListUpdate accept(JsonParser parser, JsonToken token) throws IOException {
+    ListUpdate accept(JsonParser parser, JsonToken token) throws IOException {
         if (skipDepth > 0) {
             skipDepth += token.isStructStart() ? 1 : token.isStructEnd() ? -1 : 0;
         } else if (token == JsonToken.FIELD_NAME) {
@@ -87,11 +87,11 @@
         hasInstances = false;
     }
 
-    private Discovery.ListUpdate endList() {
+    private ListUpdate endList() {
         if (generation == null || !hasInstances) {
             throw new IllegalArgumentException("a list without generation or instances");
         }
-        Discovery.ListUpdate listUpdate = update.end(generation, isFullList);
+        ListUpdate listUpdate = update.end(generation, isFullList);
         update = null;
         return listUpdate;
     }
--- a/src/main/java/dewstage/proxy/Membership.java
+++ b/src/main/java/dewstage/proxy/Membership.java
@@ -14,7 +14,7 @@
  */
 final class Membership {
     /** A listed backend with its id. */
-    static final class Entry extends Discovery.ListedBackend {
+    static final class Entry extends ListedBackend {
         final String id;
         /** Number of the last list that contained this entry. */
         private int listNumber;
@@ -77,7 +77,7 @@
         private final int listNumber;
         private final Entries staged = new Entries();
         /** All entries ever staged, in order; of several with the same id the last one counts. */
-        private final List<Discovery.ListedBackend> ordered = new ArrayList<>();
+        private final List<ListedBackend> ordered = new ArrayList<>();
         /** Number of staged entries whose id is not in the membership. */
         private int addedCount;
 
@@ -144,14 +144,14 @@
          *
          * @return the changes applied; null if there are none
          */
-        Discovery.ListUpdate endTruncated(long version) {
-            List<Discovery.ListedBackend> leaving = new ArrayList<>();
+        ListUpdate endTruncated(long version) {
+            List<ListedBackend> leaving = new ArrayList<>();
             staged.each(e -> {
                 if (e.member().state() != State.READY && entries.get(e.number()) != null) {
                     leaving.add(e);
                 }
             });
-            for (Discovery.ListedBackend backend : leaving) {
+            for (ListedBackend backend : leaving) {
                 Entry entry = (Entry) backend;
                 if (entry.isGone()) {
                     entries.remove(entry);
@@ -159,11 +159,11 @@
                     entries.put(entry);
                 }
             }
-            return leaving.isEmpty() ? null : new Discovery.ListUpdate(ListKind.DELTA, version, leaving);
+            return leaving.isEmpty() ? null : new ListUpdate(ListKind.DELTA, version, leaving);
         }
 
         /** Applies the complete list and returns the changes. */
-        Discovery.ListUpdate end(long version, boolean isFullList) {
+        ListUpdate end(long version, boolean isFullList) {
             if (ordered.size() > staged.size()) {
                 ordered.removeIf(b -> staged.get(b.member().id()) != b);
             }
@@ -177,7 +177,7 @@
             }
             for (Entry entry : leaving) {
                 Member m = entry.member();
-                ordered.add(new Discovery.ListedBackend(new Member(m.id(), m.kind(), State.GONE, m.bootNs(),
+                ordered.add(new ListedBackend(new Member(m.id(), m.kind(), State.GONE, m.bootNs(),
                         m.cell(), m.zone(), m.units()), null));
             }
             if (entries.size() == 0) {
@@ -194,7 +194,7 @@
             }
             ListKind kind = isFullList && !isFullListDelivered ? ListKind.FULL : ListKind.DELTA;
             isFullListDelivered = true;
-            return new Discovery.ListUpdate(kind, version, ordered);
+            return new ListUpdate(kind, version, ordered);
         }
     }
 }
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -250,7 +250,7 @@
     }
 
     private void startServing() {
-        Discovery.ListUpdate known = discovery.readKnownList();
+        ListUpdate known = discovery.readKnownList();
         if (known != null) {
             discovery.resumeFrom(known.version());
             apply(known);
@@ -340,13 +340,13 @@
     }
 
     @Override
-    public void onListUpdate(Discovery.ListUpdate listUpdate) {
+    public void onListUpdate(ListUpdate listUpdate) {
         apply(listUpdate);
         markReady();
     }
 
     @Override
-    public void onTruncatedList(Discovery.ListUpdate leaving) {
+    public void onTruncatedList(ListUpdate leaving) {
         apply(leaving);
     }
 
@@ -363,7 +363,7 @@
         apply(discovery.read(list));
     }
 
-    private void apply(Discovery.ListUpdate update) {
+    private void apply(ListUpdate update) {
         backends.apply(update);
         enqueue(0, now -> balancer.onMembers(now, update.kind(), update.version(), update.members()));
     }
@@ -453,9 +453,7 @@
         boolean reliable = !watchesDiscovery || freshness.isReliable(System.nanoTime());
         if (reliable != listWasReliable) {
             listWasReliable = reliable;
-            Log.line("list version " + discovery.version() + ", confirmed " + describeListAge() + ", state "
-                    + freshness.describeState()
-                    + (reliable ? ": reliable" : ": may be outdated, refusing requests"));
+            Log.line(describeList() + (reliable ? ": reliable" : ": may be outdated, refusing requests"));
         }
         return reliable;
     }
@@ -564,13 +562,12 @@
     private void logAttempt(Exchange exchange, int attemptNumber, int server) {
         Log.line("attempt " + attemptNumber + " of request "
                 + exchange.request.headers().get("Request-Id") + " to server "
-                + discovery.idOf(server) + ", list version " + discovery.version() + ", confirmed "
-                + describeListAge());
+                + discovery.idOf(server) + ", " + describeList());
     }
 
-    private String describeListAge() {
-        long ageNs = discovery.listAgeNs();
-        return ageNs < 0 ? "never" : TimeUnit.NANOSECONDS.toMillis(ageNs) + " ms ago";
+    private String describeList() {
+        return "list version " + discovery.version() + ", confirmed "
+                + freshness.describeAge(System.nanoTime()) + ", state " + freshness.describeState();
     }
 
     @Override
--- a/src/test/java/dewstage/proxy/BackendsTest.java
+++ b/src/test/java/dewstage/proxy/BackendsTest.java
@@ -433,8 +433,8 @@
                 id -> listEntry(id, State.READY))).get();
     }
 
-    private Discovery.ListedBackend listEntry(int id, State state) {
-        return new Discovery.ListedBackend(new Member(id, 0, state, 0, 0, 0, 1), backend.address());
+    private ListedBackend listEntry(int id, State state) {
+        return new ListedBackend(new Member(id, 0, state, 0, 0, 0, 1), backend.address());
     }
 
     private int trackedCount(Backends backends) throws Exception {
@@ -445,15 +445,15 @@
     @Test
     void onlyBackendsInUseAreTracked() throws Exception {
         Backends backends = newBackends(1024);
-        List<Discovery.ListedBackend> list =
+        List<ListedBackend> list =
                 IntStream.range(0, 1000).mapToObj(id -> listEntry(id, State.READY)).toList();
-        setup.runOnLoop(() -> backends.apply(new Discovery.ListUpdate(ListKind.FULL, 1, list)));
+        setup.runOnLoop(() -> backends.apply(new ListUpdate(ListKind.FULL, 1, list)));
         assertEquals(0, trackedCount(backends));
         setup.clock.freeze();
         List<Peer.Wire> connections = serveOneAt(backends, 3, 4, 5);
         assertEquals(3, trackedCount(backends));
-        List<Discovery.ListedBackend> changes = List.of(listEntry(4, State.GONE));
-        setup.runOnLoop(() -> backends.apply(new Discovery.ListUpdate(ListKind.DELTA, 2, changes)));
+        List<ListedBackend> changes = List.of(listEntry(4, State.GONE));
+        setup.runOnLoop(() -> backends.apply(new ListUpdate(ListKind.DELTA, 2, changes)));
         assertTrue(connections.get(1).awaitClose(), "idle connection to a server that is gone");
         assertEquals(2, trackedCount(backends));
         setup.clock.advance(15_000_000_000L); // the keep-alive time, after which idle connections are closed
@@ -523,8 +523,8 @@
     void backendDrainingForLongerThanTheGraceIsSentNothing() throws Exception {
         Member draining = new Member(server, 0, State.DRAINING, 0, 3, 0, 1);
         setup.clock.freeze();
-        setup.runOnLoop(() -> setup.proxy.onListUpdate(new Discovery.ListUpdate(ListKind.DELTA, 42,
-                List.of(new Discovery.ListedBackend(draining, backend.address())))));
+        setup.runOnLoop(() -> setup.proxy.onListUpdate(new ListUpdate(ListKind.DELTA, 42,
+                List.of(new ListedBackend(draining, backend.address())))));
         setup.clock.advance(500_000_001L); // longer than the drain grace
         try (Peer.Wire client = setup.client()) {
             sendRequest(client);
--- a/src/test/java/dewstage/proxy/DiscoveryCallTimingTest.java
+++ b/src/test/java/dewstage/proxy/DiscoveryCallTimingTest.java
@@ -178,7 +178,7 @@
         ((ObjectNode) root.at("/settings/rules")).put("drain_grace_ns", 60_000_000_000L);
         Discovery client = new Discovery(loop, Config.parse(root, Map.of()), new Discovery.Listener() {
             @Override
-            public void onListUpdate(Discovery.ListUpdate listUpdate) { }
+            public void onListUpdate(ListUpdate listUpdate) { }
 
             @Override
             public void onWatchFailed() { }
--- a/src/test/java/dewstage/proxy/DiscoveryTest.java
+++ b/src/test/java/dewstage/proxy/DiscoveryTest.java
@@ -348,8 +348,8 @@
             Request r = setup.awaitRequest();
             setup.runOnLoop(() -> {
                 setup.actions.send(r.ticket(), draining.id(), 0);
-                setup.proxy.onListUpdate(new Discovery.ListUpdate(ListKind.DELTA, 42,
-                        List.of(new Discovery.ListedBackend(draining, backend.address()))));
+                setup.proxy.onListUpdate(new ListUpdate(ListKind.DELTA, 42,
+                        List.of(new ListedBackend(draining, backend.address()))));
             });
             assertEquals(Status.MOOT, setup.awaitOutcome().status());
             assertEquals("", backend.accept().read());
--- a/src/test/java/dewstage/proxy/MembershipTest.java
+++ b/src/test/java/dewstage/proxy/MembershipTest.java
@@ -36,15 +36,15 @@
     }
 
     /** Reads a text in pieces of this size; returns the updates. */
-    private List<Discovery.ListUpdate> read(String text, int pieceBytes) throws IOException {
+    private List<ListUpdate> read(String text, int pieceBytes) throws IOException {
         ListReader reader = new ListReader(membership, config);
-        List<Discovery.ListUpdate> updates = new ArrayList<>();
+        List<ListUpdate> updates = new ArrayList<>();
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         try (Json.TokenStream stream = new Json.TokenStream()) {
             for (int i = 0; i < bytes.length; i += pieceBytes) {
                 byte[] part = Arrays.copyOfRange(bytes, i, Math.min(bytes.length, i + pieceBytes));
                 stream.feed(part, (parser, token) -> {
-                    Discovery.ListUpdate update = reader.accept(parser, token);
+                    ListUpdate update = reader.accept(parser, token);
                     if (update != null) {
                         updates.add(update);
                     }
@@ -54,8 +54,8 @@
         return updates;
     }
 
-    private Discovery.ListUpdate readOne(String text) throws IOException {
-        List<Discovery.ListUpdate> updates = read(text, text.length());
+    private ListUpdate readOne(String text) throws IOException {
+        List<ListUpdate> updates = read(text, text.length());
         assertEquals(1, updates.size());
         return updates.get(0);
     }
@@ -99,7 +99,7 @@
         List<String> ids = new ArrayList<>(collidingIds());
         ids.addAll(List.of("a", "b", "c", "d"));
         Map<Integer, String> expected = new TreeMap<>(); // by index of the id, which is also the cell
-        Map<Integer, Discovery.ListedBackend> received = new HashMap<>();
+        Map<Integer, ListedBackend> received = new HashMap<>();
         Random random = new Random(11);
         Set<ListKind> kinds = new HashSet<>();
         for (int round = 0; round < 3000; round++) {
@@ -121,13 +121,13 @@
             }
             String text = listJson(isFullList, random.nextBoolean(), String.join(",", instances));
             int end = isTruncated ? random.nextInt(text.length()) : text.length();
-            List<Discovery.ListUpdate> updates = read(text.substring(0, end), 1 + random.nextInt(90));
+            List<ListUpdate> updates = read(text.substring(0, end), 1 + random.nextInt(90));
             assertEquals(isTruncated ? 0 : 1, updates.size());
             expected = isTruncated ? expected : next;
-            for (Discovery.ListUpdate update : updates) {
+            for (ListUpdate update : updates) {
                 kinds.add(update.kind());
-                for (Discovery.ListedBackend backend : update.entries()) {
-                    Discovery.ListedBackend before = received.get(backend.member().id());
+                for (ListedBackend backend : update.entries()) {
+                    ListedBackend before = received.get(backend.member().id());
                     assertTrue(before == null || !before.isSameAs(backend),
                             "an unchanged entry was reported again");
                     assertEquals(backend.member().cell(),
@@ -151,12 +151,12 @@
     @Test
     void idsWithCollidingHashesKeepTheirNumbersAfterOneLeaves() throws Exception {
         List<String> ids = collidingIds();
-        Discovery.ListUpdate update = readOne(listJson(true, false,
+        ListUpdate update = readOne(listJson(true, false,
                 entryJson(ids.get(0), 1, "in_service", 1) + "," + entryJson(ids.get(1), 2, "in_service", 1)));
         int second = update.entries().get(1).member().id();
         assertNotEquals(update.entries().get(0).member().id(), second);
         readOne(listJson(false, false, entryJson(ids.get(0), 1, "terminated", 1)));
-        Discovery.ListUpdate moved =
+        ListUpdate moved =
                 readOne(listJson(false, false, entryJson(ids.get(1), 2, "in_service", 2)));
         assertEquals(second, moved.entries().get(0).member().id());
         assertEquals(1, membership.size());
@@ -164,16 +164,16 @@
 
     @Test
     void anEntryIsConvertedToAMemberAndReportedOnce() throws Exception {
-        Discovery.ListUpdate first = readOne(listJson(true, true, entriesJson(0, 3)));
+        ListUpdate first = readOne(listJson(true, true, entriesJson(0, 3)));
         Member member = first.members().get(1);
         assertEquals(new Member(member.id(), 1, State.READY, 5_000_000, 1, 1, 1), member);
         assertEquals("/10.0.0.1:9001", first.entries().get(1).address().toString());
         assertEquals(List.of(), readOne(listJson(true, true, entriesJson(0, 3))).entries());
-        Discovery.ListedBackend ipv6Backend =
-                new Discovery.ListedBackend(member, Config.address("[2001:db8::1]:80"));
+        ListedBackend ipv6Backend =
+                new ListedBackend(member, Config.address("[2001:db8::1]:80"));
         assertEquals(Config.address("[2001:db8::1]:80"), ipv6Backend.address());
         assertTrue(!ipv6Backend.isSameAs(
-                new Discovery.ListedBackend(member, Config.address("[2001:db8::2]:80"))));
+                new ListedBackend(member, Config.address("[2001:db8::2]:80"))));
     }
 
     /** Only the last entry of an id counted, while all of them were kept until the end of the list. */
