Running proxies serve through outages that show in refused, lost or reset connections

OutageOfDiscoveryTest has one proxy for each way in which discovery can be unavailable in place of one outage of refused connections; all learn at the end.

--- a/src/test/java/dewstage/faults/OutageOfDiscoveryTest.java
+++ b/src/test/java/dewstage/faults/OutageOfDiscoveryTest.java
@@ -1,6 +1,7 @@
 package dewstage.faults;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
@@ -25,6 +26,7 @@
     /** Longer than a list is relied on without an outage. */
     private static final Duration LONG_OUTAGE = Duration.ofSeconds(10);
 
+    private static final Duration LEARNING_PERIOD = Duration.ofSeconds(2);
     private static final double MIN_SERVED_SHARE = 0.9;
 
     @TempDir
@@ -63,20 +65,30 @@
         }
     }
 
+    /** One proxy for each way in which discovery can be unavailable; an outage is one that ends the watches. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
-    void runningProxiesServeThroughAnOutage(boolean pushed) throws Exception {
-        try (FaultRun run = fleet(pushed)) {
-            startAndAwaitReady(run);
-            long downNs = System.nanoTime();
-            run.discovery.down();
+    void runningProxiesServeThroughAnOutageAndLearnAtItsEnd(boolean pushed) throws Exception {
+        try (FaultRun run =
+                        new FaultRun(folder, UnavailableSources.COUNT, SERVERS, pushed, Duration.ofMillis(1), false);
+                UnavailableSources sources = new UnavailableSources(run)) {
+            run.start(sources.settings());
+            awaitReady(run, UnavailableSources.COUNT);
+            long fromNs = System.nanoTime();
+            sources.beginUnavailability();
             run.pause(LONG_OUTAGE);
-            assertTrue(run.servedShareSince(downNs) >= MIN_SERVED_SHARE, "served " + run.servedShareSince(downNs));
-            run.discovery.up();
-            run.discovery.publish("s-0", ServerList.Lifecycle.TERMINATING);
-            run.pause(Duration.ofSeconds(4));
-            assertEquals(List.of(), run.drainViolations());
-            assertTrue(run.servedShareSince(downNs) >= MIN_SERVED_SHARE, "served " + run.servedShareSince(downNs));
+            long toNs = System.nanoTime();
+            for (int i = 0; i < UnavailableSources.COUNT; i++) {
+                if (sources.kind(i).endsWatches()) {
+                    double share = run.servedShare(i, fromNs, toNs);
+                    assertTrue(share >= MIN_SERVED_SHARE, "served " + share + " by " + sources.describe(i));
+                }
+            }
+            run.list.change("s-0", ServerList.Lifecycle.TERMINATING);
+            sources.endUnavailability();
+            assertNull(sources.awaitAllServing(), "does not serve again");
+            run.pause(LEARNING_PERIOD);
+            assertEquals(List.of(), sources.drainViolations());
             assertEquals(List.of(), run.lostRequests());
         }
     }
@@ -87,7 +99,11 @@
 
     private static void startAndAwaitReady(FaultRun run) throws Exception {
         run.start();
-        for (int i = 0; i < PROXIES; i++) {
+        awaitReady(run, PROXIES);
+    }
+
+    private static void awaitReady(FaultRun run, int proxies) throws Exception {
+        for (int i = 0; i < proxies; i++) {
             assertTrue(run.fleet.awaitLog(i, " ready", MAX_START), "not ready");
         }
     }
--- a/src/test/java/dewstage/faults/UnavailableDiscovery.java
+++ b/src/test/java/dewstage/faults/UnavailableDiscovery.java
@@ -19,9 +19,15 @@
         /** Calls wait and are refused with 503. */
         CALLS_REFUSED;
 
+        /** Whether discovery cannot be reached at all. */
         boolean isOutage() {
             return this == CONNECTIONS_REFUSED || this == CONNECTIONS_TIME_OUT;
         }
+
+        /** Whether open watches end at the beginning. */
+        boolean endsWatches() {
+            return isOutage() || this == CALLS_RESET;
+        }
     }
 
     private static final Duration CALL_TIME = Duration.ofMillis(1);
