Take the times of calls to discovery from the clock that the proxy is given

Cause: Discovery and DiscoveryWatch read System.nanoTime, and Proxy.isListReliable too, beside a Clock that Proxy is given.

Change: they take the Clock. In service it is System.nanoTime with another origin, so nothing changes there. The log of a call still has its own times.

--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -41,6 +41,7 @@
     static final long MAX_TOO_LARGE_PAUSE_MS = 64_000;
 
     private final EventLoop loop;
+    private final Clock clock;
     private final Config config;
     private final Listener listener;
     private final long stallTimeoutMs;
@@ -53,8 +54,8 @@
     private long version = -1;
     private long retryPauseMs = MIN_RETRY_PAUSE_MS;
     private long tooLargePauseMs;
-    /** Earliest time of the next call, by nanoTime, after a queued refusal or a list that is too large. */
-    private long nextCallAtNs = System.nanoTime();
+    /** Earliest time of the next call, by the clock, after a queued refusal or a list that is too large. */
+    private long nextCallAtNs;
     private boolean isWatchWanted;
     /** The answered watch, whose lists are applied; null if there is none. */
     private DiscoveryWatch watch;
@@ -69,8 +70,8 @@
     /** Consecutive calls that failed to connect. */
     private int failedConnects;
 
-    Discovery(EventLoop loop, Config config, Listener listener) {
-        this(loop, config, listener, STALL_TIMEOUT_MS,
+    Discovery(EventLoop loop, Clock clock, Config config, Listener listener) {
+        this(loop, clock, config, listener, STALL_TIMEOUT_MS,
                 HeapShares.ofThisProcess(config.sockets()).listBytes());
     }
 
@@ -79,14 +80,17 @@
      *
      * @param maxListBytes limit of the memory for all listed entries, and of the text of one list
      */
-    Discovery(EventLoop loop, Config config, Listener listener, long stallTimeoutMs, long maxListBytes) {
-        this(loop, config, listener, stallTimeoutMs, maxListBytes,
+    Discovery(EventLoop loop, Clock clock, Config config, Listener listener, long stallTimeoutMs,
+            long maxListBytes) {
+        this(loop, clock, config, listener, stallTimeoutMs, maxListBytes,
                 new ListFreshness(config.drainGraceNs(), config.settings().askWithinNs()));
     }
 
     /** As above, with the tracker that is notified of confirmations, refusals and outages. */
-    Discovery(EventLoop loop, Config config, Listener listener, long stallTimeoutMs, long maxListBytes,
-            ListFreshness freshness) {
+    Discovery(EventLoop loop, Clock clock, Config config, Listener listener, long stallTimeoutMs,
+            long maxListBytes, ListFreshness freshness) {
+        this.clock = clock;
+        this.nextCallAtNs = clock.now();
         this.maxListBytes = maxListBytes;
         this.membership = new Membership(maxListBytes);
         this.loop = loop;
@@ -155,7 +159,7 @@
             closeWatch("closed by this proxy");
         }
         isWatchWanted = on;
-        long waitNs = nextCallAtNs - System.nanoTime();
+        long waitNs = nextCallAtNs - clock.now();
         if (on && waitNs > 0) {
             retryTimer = loop.schedule(this::openCall, waitNs, TimeUnit.NANOSECONDS);
         } else if (on) {
@@ -175,8 +179,8 @@
         address = newAddress;
         retryPauseMs = MIN_RETRY_PAUSE_MS;
         tooLargePauseMs = 0;
-        nextCallAtNs = System.nanoTime();
-        freshness.onAddressChanged(System.nanoTime());
+        nextCallAtNs = clock.now();
+        freshness.onAddressChanged(clock.now());
         closeCall("discovery has moved");
         isWatchWanted = true;
         openCall();
@@ -225,7 +229,7 @@
     }
 
     private void startCall() {
-        call = new DiscoveryWatch(loop, this, address, version, stallTimeoutMs, maxListBytes,
+        call = new DiscoveryWatch(loop, clock, this, address, version, stallTimeoutMs, maxListBytes,
                 new ListReader(membership, config), newCallLog());
         callTimer = loop.schedule(() -> call.giveUp("no answer"), callTiming.timeoutNs(),
                 TimeUnit.NANOSECONDS);
@@ -250,8 +254,8 @@
 
     private void recordConnectFailure(ConnectFailure failure) {
         switch (failure) {
-            case REFUSED -> freshness.onConnectionRefused(System.nanoTime());
-            case TIMED_OUT -> freshness.onConnectionTimedOut(System.nanoTime());
+            case REFUSED -> freshness.onConnectionRefused(clock.now());
+            case TIMED_OUT -> freshness.onConnectionTimedOut(clock.now());
             default -> { } // says nothing of discovery
         }
     }
@@ -297,7 +301,7 @@
     /** After a move, data from the old address does not confirm the list of the new one. */
     private void confirm(DiscoveryWatch source) {
         if (source.address().equals(address)) {
-            freshness.onConfirmed(System.nanoTime());
+            freshness.onConfirmed(clock.now());
         }
     }
 
@@ -317,7 +321,7 @@
         tooLargePauseMs = reason == DiscoveryWatch.EndReason.TOO_LARGE
                 ? Math.max(MIN_TOO_LARGE_PAUSE_MS, Math.min(2 * tooLargePauseMs, MAX_TOO_LARGE_PAUSE_MS)) : 0;
         pauseNs = Math.max(pauseNs, TimeUnit.MILLISECONDS.toNanos(tooLargePauseMs));
-        nextCallAtNs = System.nanoTime() + pauseNs;
+        nextCallAtNs = clock.now() + pauseNs;
         if (isWatchWanted && call == null && retryTimer == null) {
             scheduleCall(pauseNs);
         }
@@ -327,7 +331,7 @@
         if (!source.wasUpToDate()) {
             freshness.onChangesMissed();
         } else if (reason == DiscoveryWatch.EndReason.CLOSED_BY_PEER) {
-            freshness.onWatchEnded(System.nanoTime());
+            freshness.onWatchEnded(clock.now());
         } else if (reason == DiscoveryWatch.EndReason.STALLED) {
             freshness.onWatchSilent();
         }
@@ -349,7 +353,7 @@
     /** Returns the minimum pause before the next call, in ns. */
     private long onCallFailed(DiscoveryWatch.EndReason reason) {
         long waitedNs = call.ageNs();
-        long now = System.nanoTime();
+        long now = clock.now();
         clearCall();
         ConnectFailure connectFailure = reason.connectFailure();
         failedConnects = connectFailure != null ? failedConnects + 1 : 0;
--- a/src/main/java/dewstage/proxy/DiscoveryWatch.java
+++ b/src/main/java/dewstage/proxy/DiscoveryWatch.java
@@ -87,6 +87,7 @@
     }
 
     private final EventLoop loop;
+    private final Clock clock;
     private final Owner owner;
     private final InetSocketAddress address;
     /** Version of the last list; before the first one, the requested version, or -1 for the whole list. */
@@ -96,7 +97,7 @@
     private final DiscoveryCallLog callLog;
     private final ListReader listReader;
     private final Json.TokenStream stream;
-    private final long openedAtNs = System.nanoTime();
+    private final long openedAtNs;
     private Channel channel;
     private boolean isConnected;
     /** Whether a list or a heartbeat has been received. */
@@ -115,9 +116,11 @@
      * @param stallTimeoutMs an answered watch that receives no data for this long ends as stalled
      * @param maxListBytes limit of the text of one list
      */
-    DiscoveryWatch(EventLoop loop, Owner owner, InetSocketAddress address, long fromVersion,
+    DiscoveryWatch(EventLoop loop, Clock clock, Owner owner, InetSocketAddress address, long fromVersion,
             long stallTimeoutMs, long maxListBytes, ListReader listReader, DiscoveryCallLog callLog) {
         this.loop = loop;
+        this.clock = clock;
+        this.openedAtNs = clock.now();
         this.owner = owner;
         this.address = address;
         this.version = fromVersion;
@@ -193,7 +196,7 @@
 
     /** Time since the call was created. */
     long ageNs() {
-        return System.nanoTime() - openedAtNs;
+        return clock.now() - openedAtNs;
     }
 
     private void end(EndReason reason, String details) {
--- a/src/main/java/dewstage/proxy/HollowProxy.java
+++ b/src/main/java/dewstage/proxy/HollowProxy.java
@@ -47,7 +47,7 @@
         this.loop = loop;
         this.answerNs = answerNs;
         this.observer = observer;
-        this.discovery = new Discovery(loop, config, this);
+        this.discovery = new Discovery(loop, clock, config, this);
         this.balancer = factory.create(config.settings(), config.seed(), clock.now(), this);
     }
 
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -137,7 +137,7 @@
                 new RequestIds(heapShares.requestIdBytes()), this);
         this.drain = new Drain(loop, clock, frontend, () -> !exchangesByClient.isEmpty(),
                 config.settings().profiles().stream().mapToLong(Profile::giveUpNs).max().orElse(0));
-        this.discovery = new Discovery(loop, config, this, Discovery.STALL_TIMEOUT_MS,
+        this.discovery = new Discovery(loop, clock, config, this, Discovery.STALL_TIMEOUT_MS,
                 heapShares.listBytes(), freshness);
         this.backends = new Backends(loop, clock, sockets.backends, new ResponseMemory(responseMemory),
                 config, transport, discovery::find);
@@ -450,7 +450,7 @@
 
     /** Whether the member list is recent enough to send attempts; logs each change. */
     private boolean isListReliable() {
-        boolean reliable = !watchesDiscovery || freshness.isReliable(System.nanoTime());
+        boolean reliable = !watchesDiscovery || freshness.isReliable(clock.now());
         if (reliable != listWasReliable) {
             listWasReliable = reliable;
             Log.line(describeList() + (reliable ? ": reliable" : ": may be outdated, refusing requests"));
@@ -567,7 +567,7 @@
 
     private String describeList() {
         return "list version " + discovery.version() + ", confirmed "
-                + freshness.describeAge(System.nanoTime()) + ", state " + freshness.describeState();
+                + freshness.describeAge(clock.now()) + ", state " + freshness.describeState();
     }
 
     @Override
--- a/src/test/java/dewstage/proxy/DiscoveryCallTimingTest.java
+++ b/src/test/java/dewstage/proxy/DiscoveryCallTimingTest.java
@@ -35,6 +35,10 @@
     private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String LIST = "{\"generation\":42,\"reset\":true,\"instances\":[]}\n";
     private static final int FAILURES = 8;
+    /** A call that is refused later than this counts as queued. */
+    private static final long MIN_QUEUED_NS = TimeUnit.MILLISECONDS.toNanos(500);
+    /** Less than the back-off after a queued call. */
+    private static final long MAX_BACKOFF_MS = 1900;
 
     /** How the last call or watch before discovery becomes reachable ends. */
     private enum LastCall { REFUSED, STALLED }
@@ -165,6 +169,24 @@
                 "the next call came after " + longestMs + " ms");
     }
 
+    /** Guards against the age of a call being taken from another clock than that of the loop. */
+    @Test
+    void aCallThatIsRefusedAtOnceIsNotTakenForAQueuedOneOnASlowMachine() throws Exception {
+        try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+            Discovery discoveryClient = startWatching(discovery, backend);
+            Peer.Wire call = acceptCall(discovery);
+            Thread.sleep(TimeUnit.NANOSECONDS.toMillis(MIN_QUEUED_NS) + 200);
+            call.close();
+            long refusedMs = nowMs();
+            while (discovery.hasNoPendingConnection() && nowMs() - refusedMs <= MAX_BACKOFF_MS) {
+                advance(50);
+                loop.run(TimeUnit.MILLISECONDS.toNanos(1));
+            }
+            assertTrue(nowMs() - refusedMs <= MAX_BACKOFF_MS, "the next call has not been made");
+            discoveryClient.setWatching(false);
+        }
+    }
+
     private static Balancer.Actions countingCalls(Balancer.Actions actions, int[] calls) {
         return (Balancer.Actions) java.lang.reflect.Proxy.newProxyInstance(Balancer.class.getClassLoader(),
                 new Class<?>[] {Balancer.Actions.class}, (proxy, method, args) -> {
@@ -176,7 +198,7 @@
     private Discovery startWatching(Peer discovery, Peer backend) throws ConfigException {
         JsonNode root = Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000);
         ((ObjectNode) root.at("/settings/rules")).put("drain_grace_ns", 60_000_000_000L);
-        Discovery client = new Discovery(loop, Config.parse(root, Map.of()), new Discovery.Listener() {
+        Discovery client = new Discovery(loop, clock, Config.parse(root, Map.of()), new Discovery.Listener() {
             @Override
             public void onListUpdate(ListUpdate listUpdate) { }
 
--- a/src/test/java/dewstage/proxy/DiscoveryTest.java
+++ b/src/test/java/dewstage/proxy/DiscoveryTest.java
@@ -110,7 +110,7 @@
     void emptyLinesWithinAListAreNoHeartbeat() throws Exception {
         Config config = Setup.config(discovery, backend);
         discovery.accept().read(); // the call of the proxy
-        Discovery discoveryClient = new Discovery(setup.loop, config, setup.proxy, 200, 100_000);
+        Discovery discoveryClient = new Discovery(setup.loop, setup.clock, config, setup.proxy, 200, 100_000);
         discoveryClient.resumeFrom(41);
         setup.runOnLoop(() -> discoveryClient.setWatching(true));
         Peer.Wire watch = discovery.accept();
@@ -137,7 +137,8 @@
     private Discovery startWithSmallLimit(Config config) throws Exception {
         discovery.accept().read(); // the call of the proxy, which would call again before the pauses end
         setup.runOnLoop(() -> setup.actions.subscribe(false));
-        Discovery discoveryClient = new Discovery(setup.loop, config, setup.proxy, 60_000, 100_000);
+        Discovery discoveryClient =
+                new Discovery(setup.loop, setup.clock, config, setup.proxy, 60_000, 100_000);
         discoveryClient.resumeFrom(41);
         setup.runOnLoop(() -> discoveryClient.setWatching(true));
         return discoveryClient;
@@ -244,9 +245,9 @@
         discovery.accept().read(); // the call of the proxy
         Config config = Setup.config(discovery, backend);
         ListFreshness freshness = new ListFreshness(config.drainGraceNs(), 0);
-        freshness.onConfirmed(System.nanoTime());
+        freshness.onConfirmed(setup.clock.now());
         Discovery discoveryClient =
-                new Discovery(setup.loop, config, setup.proxy, 60_000, 100_000, freshness);
+                new Discovery(setup.loop, setup.clock, config, setup.proxy, 60_000, 100_000, freshness);
         discoveryClient.resumeFrom(41);
         setup.runOnLoop(() -> discoveryClient.setWatching(true));
         Peer.Wire watch = discovery.accept();
@@ -265,7 +266,7 @@
     void aStalledWatchIsReopened() throws Exception {
         Config config = Setup.config(discovery, backend);
         discovery.accept().read(); // the call of the proxy
-        Discovery discoveryClient = new Discovery(setup.loop, config, setup.proxy, 200, 100_000);
+        Discovery discoveryClient = new Discovery(setup.loop, setup.clock, config, setup.proxy, 200, 100_000);
         setup.loop.submit(() -> discoveryClient.setWatching(true)).get(20, TimeUnit.SECONDS);
         Peer.Wire watch = discovery.accept();
         watch.read();
@@ -318,7 +319,8 @@
     @Test
     void numbersOfBackendsThatAreGoneAreReleased() throws Exception {
         Config config = Setup.config(discovery, backend);
-        Discovery discoveryClient = new Discovery(setup.loop, config, setup.proxy, 60_000, 100_000);
+        Discovery discoveryClient =
+                new Discovery(setup.loop, setup.clock, config, setup.proxy, 60_000, 100_000);
         setup.runOnLoop(() -> discoveryClient.setWatching(true));
         discovery.accept(); // the call of the proxy
         Peer.Wire watch = discovery.accept();
--- a/src/test/java/dewstage/proxy/Setup.java
+++ b/src/test/java/dewstage/proxy/Setup.java
@@ -102,9 +102,9 @@
     }
 
     /** Treats the configured list as confirmed for an hour, so that discovery need not respond. */
-    private static ListFreshness confirmedFreshness() {
+    private ListFreshness confirmedFreshness() {
         ListFreshness freshness = new ListFreshness(TimeUnit.HOURS.toNanos(1), 0);
-        freshness.onConfirmed(System.nanoTime());
+        freshness.onConfirmed(clock.now());
         return freshness;
     }
 
