--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -303,7 +303,7 @@
         call = new DiscoveryWatch(loop, this, address, version, stallTimeoutMs, maxListBytes,
                 new ListReader(membership, config), newCallLog());
         callTimer = loop.schedule(() -> call.giveUp("no answer"), patience.timeoutNs(), TimeUnit.NANOSECONDS);
-        livenessTimer = loop.schedule(this::checkLiveness, LIVENESS_CHECK_MS, TimeUnit.MILLISECONDS);
+        scheduleLivenessCheck(LIVENESS_CHECK_MS);
         call.open((int) connectTimeoutMs(config.drainGraceNs()));
     }
 
@@ -319,7 +319,7 @@
      */
     private void checkLiveness() {
         if (watch != null && watch.address().equals(address)) {
-            livenessTimer = loop.schedule(this::checkLiveness, LIVENESS_CHECK_MS, TimeUnit.MILLISECONDS);
+            scheduleLivenessCheck(LIVENESS_CHECK_MS);
             return; // the watch at this address either receives data or ends as stalled
         }
         DiscoveryWatch waiting = call;
@@ -331,20 +331,41 @@
             if (!noDescriptor) {
                 connect.channel().close();
             }
-            if (waiting == call) {
-                onLivenessChecked(f.isSuccess() || noDescriptor);
+            if (waiting == call && (f.isSuccess() || noDescriptor)) {
+                failedLivenessChecks = 0;
+                scheduleLivenessCheck(LIVENESS_CHECK_MS);
+            } else if (waiting == call) {
+                onLivenessCheckFailed(ConnectFailure.of(f.cause()));
             }
         });
     }
 
-    private void onLivenessChecked(boolean isAlive) {
-        failedLivenessChecks = isAlive ? 0 : failedLivenessChecks + 1;
-        if (failedLivenessChecks >= MAX_FAILED_LIVENESS_CHECKS) {
-            freshness.onUnreachable(System.nanoTime());
-            call.giveUp("discovery no longer accepts connections");
-        } else {
-            livenessTimer = loop.schedule(this::checkLiveness,
-                    isAlive ? LIVENESS_CHECK_MS : MIN_RETRY_PAUSE_MS, TimeUnit.MILLISECONDS);
+    private void onLivenessCheckFailed(ConnectFailure failure) {
+        failedLivenessChecks++;
+        if (failedLivenessChecks < MAX_FAILED_LIVENESS_CHECKS) {
+            scheduleLivenessCheck(MIN_RETRY_PAUSE_MS);
+            return;
+        }
+        recordConnectFailure(failure);
+        call.giveUp("discovery no longer accepts connections");
+    }
+
+    private void recordConnectFailure(ConnectFailure failure) {
+        switch (failure) {
+            case REFUSED -> freshness.onConnectionRefused(System.nanoTime());
+            case TIMED_OUT -> freshness.onConnectionTimedOut(System.nanoTime());
+            default -> { } // says nothing of discovery
+        }
+    }
+
+    private void scheduleLivenessCheck(long delayMs) {
+        livenessTimer = loop.schedule(this::checkLiveness, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void onConnected(DiscoveryWatch source) {
+        if (source.address().equals(address)) {
+            freshness.onConnected();
         }
     }
 
@@ -394,8 +415,8 @@
             pauseNs = onCallFailed(reason);
         } else {
             watch = null;
-            if (reason == DiscoveryWatch.EndReason.CLOSED_BY_PEER) {
-                freshness.onWatchEnded(System.nanoTime());
+            if (source.address().equals(address)) {
+                recordWatchEnd(source, reason);
             }
         }
         // Doubles until a watch ends for another reason. A smaller list received on the same watch before the
@@ -409,6 +430,16 @@
         }
     }
 
+    private void recordWatchEnd(DiscoveryWatch source, DiscoveryWatch.EndReason reason) {
+        if (!source.wasUpToDate()) {
+            freshness.onChangesMissed();
+        } else if (reason == DiscoveryWatch.EndReason.CLOSED_BY_PEER) {
+            freshness.onWatchEnded(System.nanoTime());
+        } else if (reason == DiscoveryWatch.EndReason.STALLED) {
+            freshness.onWatchSilent();
+        }
+    }
+
     /** Schedules the next call after the retry pause, but no sooner than after {@code minPauseNs}. */
     private void scheduleCall(long minPauseNs) {
         if (config.settings().askForList()) {
@@ -427,9 +458,10 @@
         long waitedNs = call.ageNs();
         long now = System.nanoTime();
         clearCall();
-        failedConnects = reason == DiscoveryWatch.EndReason.NOT_CONNECTED ? failedConnects + 1 : 0;
-        if (reason == DiscoveryWatch.EndReason.NOT_CONNECTED) {
-            freshness.onUnreachable(now);
+        ConnectFailure connectFailure = reason.connectFailure();
+        failedConnects = connectFailure != null ? failedConnects + 1 : 0;
+        if (connectFailure != null) {
+            recordConnectFailure(connectFailure);
         } else if (reason == DiscoveryWatch.EndReason.STALLED) {
             patience.onTimedOut();
         } else if (reason == DiscoveryWatch.EndReason.REFUSED
--- a/src/main/java/dewstage/proxy/DiscoveryWatch.java
+++ b/src/main/java/dewstage/proxy/DiscoveryWatch.java
@@ -36,17 +36,41 @@
     enum EndReason {
         OPEN,
         CLOSED_BY_US,
+        CONNECTION_REFUSED,
+        CONNECTION_TIMED_OUT,
+        /** For a local reason. */
         NOT_CONNECTED,
         NO_DESCRIPTOR,
         REFUSED,
         STALLED,
         INVALID,
         TOO_LARGE,
-        CLOSED_BY_PEER
+        CLOSED_BY_PEER;
+
+        private static EndReason of(ConnectFailure failure) {
+            return switch (failure) {
+                case REFUSED -> CONNECTION_REFUSED;
+                case TIMED_OUT -> CONNECTION_TIMED_OUT;
+                case LOCAL -> NOT_CONNECTED;
+            };
+        }
+
+        /** Why the connection did not come up; null if it did, or if it was not tried. */
+        ConnectFailure connectFailure() {
+            return switch (this) {
+                case CONNECTION_REFUSED -> ConnectFailure.REFUSED;
+                case CONNECTION_TIMED_OUT -> ConnectFailure.TIMED_OUT;
+                case NOT_CONNECTED -> ConnectFailure.LOCAL;
+                default -> null;
+            };
+        }
     }
 
     /** Receives the events of a watch, none of them after its end. */
     interface Owner {
+        /** Discovery has accepted the connection. */
+        void onConnected(DiscoveryWatch source);
+
         /** The head of a successful answer has been received. */
         void onAnswered(DiscoveryWatch source);
 
@@ -76,6 +100,10 @@
     private Channel channel;
     private boolean isConnected;
     private boolean isAnswered;
+    /** Whether a list or a heartbeat has been received. */
+    private boolean hasDelivered;
+    /** Whether the watch ended between two lists, so that nothing is known to be missing. */
+    private boolean wasUpToDate;
     private EndReason endReason = EndReason.OPEN;
     /** Bytes received of the current list. */
     private long listBytes;
@@ -127,16 +155,20 @@
             if (isConnected) {
                 end(EndReason.CLOSED_BY_PEER, "closed by discovery");
             } else {
-                end(EndReason.NOT_CONNECTED, "cannot connect: " + connect.cause());
+                endNotConnected(connect.cause());
             }
         });
         connect.addListener(f -> {
             if (!f.isSuccess()) {
-                end(EndReason.NOT_CONNECTED, "cannot connect: " + f.cause());
+                endNotConnected(f.cause());
             }
         });
     }
 
+    private void endNotConnected(Throwable cause) {
+        end(EndReason.of(ConnectFailure.of(cause)), "cannot connect: " + cause);
+    }
+
     /** Closes the watch without notifying the owner. */
     void close(String reason) {
         if (endReason == EndReason.OPEN) {
@@ -156,6 +188,11 @@
         return isAnswered;
     }
 
+    /** Whether the watch, which has ended, had delivered all that is known to have been due. */
+    boolean wasUpToDate() {
+        return wasUpToDate;
+    }
+
     InetSocketAddress address() {
         return address;
     }
@@ -168,6 +205,7 @@
     private void end(EndReason reason, String details) {
         if (endReason == EndReason.OPEN) {
             endReason = reason;
+            wasUpToDate = hasDelivered && listReader.isBetweenLists() && hasOnlyValidLists();
             callLog.ended(details);
             release();
             reportTruncatedList();
@@ -177,7 +215,7 @@
 
     /** Reports the usable part of an unfinished list, but nothing of one that is invalid or too large. */
     private void reportTruncatedList() {
-        if (endReason == EndReason.CLOSED_BY_PEER || endReason == EndReason.STALLED) {
+        if (hasOnlyValidLists()) {
             Discovery.ListUpdate leaving = listReader.endTruncated(version);
             if (leaving != null) {
                 owner.onListTruncated(leaving);
@@ -185,6 +223,10 @@
         }
     }
 
+    private boolean hasOnlyValidLists() {
+        return endReason == EndReason.CLOSED_BY_PEER || endReason == EndReason.STALLED;
+    }
+
     private void release() {
         if (stallTimer != null) {
             stallTimer.cancel(false);
@@ -198,6 +240,7 @@
     public void channelActive(ChannelHandlerContext ctx) {
         isConnected = true;
         callLog.connected();
+        owner.onConnected(this);
         String from = version < 0 ? "" : "&index=" + version;
         DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                 "/catalog/members?stream=1" + from);
@@ -251,6 +294,7 @@
             restartStallTimer();
         }
         if (isBetweenLists && isBlank && bytes.isReadable()) {
+            hasDelivered = true;
             owner.onHeartbeat(this);
         }
         try {
@@ -259,6 +303,7 @@
                 if (update != null && endReason == EndReason.OPEN) {
                     callLog.listReceived(version, update);
                     version = update.version();
+                    hasDelivered = true;
                     owner.onList(this, update);
                 }
             });
--- a/src/test/java/dewstage/faults/DrainRule.java
+++ b/src/test/java/dewstage/faults/DrainRule.java
@@ -10,12 +10,17 @@
 /**
  * A proxy must not send the first byte of a request to a server later than the drain grace after it was notified that
  * the server drains or is gone. A change counts as notified when discovery has written it to the proxy, and at the
- * latest when discovery has had it for 6 s while reachable.
+ * latest when discovery has had it for 6 s while reachable. What a silent watch misses counts as notified 6 s after it
+ * fell silent. Where lists are pushed, what discovery has also counts as notified to a new process from its start, and
+ * 4 s after a change of the address of discovery.
  */
 final class DrainRule {
     /** A request at a server, with the arrival time of its first byte by System.nanoTime. */
     record ServerRequest(int proxy, String server, String requestId, long atNs) {}
 
+    /** From this time by System.nanoTime a proxy counts as notified of what discovery had while reachable. */
+    record ListDue(int proxy, long atNs) {}
+
     /** A request that violates the rule, and its delay after the proxy was notified. */
     record Violation(ServerRequest request, Duration delay) {}
 
@@ -25,12 +30,14 @@
     private final List<ServerList.Change> changes;
     private final List<QueuedDiscovery.Written> written;
     private final List<QueuedDiscovery.Reachable> reachable;
+    private final List<ListDue> listsDue;
 
-    DrainRule(Duration grace, ServerList list, QueuedDiscovery discovery) {
+    DrainRule(Duration grace, ServerList list, QueuedDiscovery discovery, List<ListDue> listsDue) {
         this.graceNs = grace.toNanos();
         this.changes = list.changes();
         this.written = discovery.written();
         this.reachable = discovery.reachable();
+        this.listsDue = List.copyOf(listsDue);
     }
 
     List<Violation> violations(List<ServerRequest> requests) {
@@ -72,6 +79,17 @@
                 latestNs = Math.min(latestNs, fromNs + DELIVERY_LIMIT_NS);
             }
         }
-        return Math.min(writtenNs, latestNs);
+        return Math.min(Math.min(writtenNs, latestNs), firstDueNs(proxy, change));
+    }
+
+    /** The first due time after discovery had the change while reachable; MAX_VALUE if there is none. */
+    private long firstDueNs(int proxy, ServerList.Change change) {
+        boolean wasReachable = reachable.stream()
+                .anyMatch(period -> period.fromNs() <= change.atNs() && change.atNs() < period.toNs());
+        return listsDue.stream()
+                .filter(due -> wasReachable && due.proxy() == proxy && due.atNs() >= change.atNs())
+                .mapToLong(ListDue::atNs)
+                .min()
+                .orElse(Long.MAX_VALUE);
     }
 }
--- a/src/test/java/dewstage/faults/FaultRun.java
+++ b/src/test/java/dewstage/faults/FaultRun.java
@@ -10,12 +10,19 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 /** Real proxy processes with clients, servers and discovery of the harness, on one host and one clock. */
 final class FaultRun implements AutoCloseable {
     /** How long after a notification requests may still be sent to a leaving server. */
     static final Duration DRAIN_GRACE = Duration.ofMillis(500);
 
+    /** What discovery at a new address has counts as notified this long after the signal. */
+    static final Duration ADDRESS_CHANGE_LIMIT = Duration.ofSeconds(4);
+
+    /** What a watch misses counts as notified this long after it has fallen silent. */
+    private static final Duration SILENT_WATCH_LIMIT = Duration.ofSeconds(6);
+
     private static final Duration SERVICE_TIME = Duration.ofMillis(5);
     private static final Duration REQUEST_INTERVAL = Duration.ofMillis(50);
     private static final int MAX_SHOWN = 5;
@@ -29,6 +36,7 @@
     private final List<SteadyClient> clients = new ArrayList<>();
     private final boolean pushed;
     private final int proxies;
+    private final List<DrainRule.ListDue> listsDue = new ArrayList<>();
     private ProcessLimits limits = ProcessLimits.DEFAULT;
 
     /** Starts servers and discovery, but no proxy yet. */
@@ -67,14 +75,39 @@
 
     /** Starts all proxies at once, and a client for each. */
     void start() throws IOException {
+        start(IntStream.range(0, proxies).mapToObj(this::settings).toList());
+    }
+
+    /** As above, with the given settings of each proxy. */
+    void start(List<ProxySettings> settings) throws IOException {
         for (int i = 0; i < proxies; i++) {
-            fleet.start(settings(i));
+            if (pushed) {
+                listsDue.add(new DrainRule.ListDue(i, System.nanoTime()));
+            }
+            fleet.start(settings.get(i));
         }
         for (int i = 0; i < proxies; i++) {
             clients.add(new SteadyClient(i, fleet.address(i), REQUEST_INTERVAL));
         }
     }
 
+    /** Moves a proxy to another discovery by its configuration file and SIGHUP. */
+    void changeDiscovery(int proxy, QueuedDiscovery newDiscovery) throws IOException, InterruptedException {
+        fleet.configure(proxy, settings(proxy, newDiscovery));
+        if (pushed) {
+            listsDue.add(new DrainRule.ListDue(proxy, System.nanoTime() + ADDRESS_CHANGE_LIMIT.toNanos()));
+        }
+        fleet.signal(proxy, "HUP");
+    }
+
+    /** Makes the watches of discovery fall silent; what they miss counts as notified after a time. */
+    void silenceWatches() {
+        discovery.setStalled(true);
+        for (int i = 0; i < proxies; i++) {
+            listsDue.add(new DrainRule.ListDue(i, System.nanoTime() + SILENT_WATCH_LIMIT.toNanos()));
+        }
+    }
+
     void pause(Duration duration) throws InterruptedException {
         TimeUnit.NANOSECONDS.sleep(duration.toNanos());
     }
@@ -91,8 +124,17 @@
 
     /** Violations with respect to the lists of the given discovery. */
     List<String> drainViolations(QueuedDiscovery source) {
-        List<DrainRule.Violation> violations =
-                new DrainRule(DRAIN_GRACE, list, source).violations(List.copyOf(requests));
+        return drainViolations(source, requests());
+    }
+
+    /** Violations of one proxy with respect to the lists of the given discovery. */
+    List<String> drainViolations(int proxy, QueuedDiscovery source) {
+        return drainViolations(
+                source, requests().stream().filter(r -> r.proxy() == proxy).toList());
+    }
+
+    private List<String> drainViolations(QueuedDiscovery source, List<DrainRule.ServerRequest> judged) {
+        List<DrainRule.Violation> violations = new DrainRule(DRAIN_GRACE, list, source, listsDue).violations(judged);
         List<String> messages = new ArrayList<>();
         violations.stream()
                 .limit(MAX_SHOWN)
@@ -123,8 +165,17 @@
 
     /** The share of served requests among those answered since a time by System.nanoTime. */
     double servedShareSince(long fromNs) {
-        List<SteadyClient.Answer> recent =
-                answers().stream().filter(a -> a.atNs() >= fromNs).toList();
+        return servedShare(answers().stream().filter(a -> a.atNs() >= fromNs).toList());
+    }
+
+    /** The share of served requests among those that a proxy answered within a period by System.nanoTime. */
+    double servedShare(int proxy, long fromNs, long toNs) {
+        return servedShare(clients.get(proxy).answers().stream()
+                .filter(a -> a.atNs() >= fromNs && a.atNs() < toNs)
+                .toList());
+    }
+
+    private static double servedShare(List<SteadyClient.Answer> recent) {
         return recent.isEmpty()
                 ? 0
                 : (double) recent.stream().filter(a -> a.status() == 200).count() / recent.size();
